--- /dev/null
+++ b/path.go
@@ -0,0 +1,56 @@
+package mustardramp
+
+import (
+	"context"
+	"time"
+)
+
+// Demand is what one attempt asks of a service's pool of backends.
+type Demand struct {
+	Rank   Rank
+	Caller CallerName
+	// Deadline is when the caller no longer wants the answer.
+	Deadline time.Time
+	// Idempotent work may be tried at backends on trial.
+	Idempotent bool
+	// Tried lists the backends of earlier attempts; none is chosen again.
+	Tried []BackendID
+	// Size is the request's length in bytes, or -1 when it is not known.
+	Size Bytes
+}
+
+// Slot is the right to one attempt at a backend.
+type Slot interface {
+	// Backend returns the backend to send the attempt to.
+	Backend() Backend
+	// Release ends the attempt. It is called exactly once.
+	Release(result Result, latency time.Duration)
+}
+
+// Pool gives out the slots of one service's backends, most valuable work
+// first.
+type Pool interface {
+	// Acquire waits for a slot. The error is a *Denial when the pool turns
+	// the demand away, or the context's error.
+	Acquire(ctx context.Context, demand Demand) (Slot, error)
+	// Update replaces the pool's view of its backends.
+	Update(standings []Standing)
+}
+
+// Ejector decides which backends receive work, from the outcomes of real work.
+type Ejector interface {
+	// Observe takes in one outcome. It is called on the request path by many
+	// goroutines.
+	Observe(o Observation)
+	// Step takes in the present roster of a service and returns the decided
+	// standings. It is called by one goroutine, several times a second.
+	Step(now time.Time, service ServiceName, roster []Backend) []Standing
+}
+
+// RetryBudget bounds further attempts to a share of the fresh traffic.
+type RetryBudget interface {
+	// Fresh counts a first attempt.
+	Fresh(rank Rank, now time.Time)
+	// Allow spends one further attempt, or reports false.
+	Allow(rank Rank, now time.Time) bool
+}
