--- a/gen/http/cli/mustardramp/cli.go
+++ b/gen/http/cli/mustardramp/cli.go
@@ -13,6 +13,9 @@
 	"net/http"
 	"os"
 
+	contractc "github.com/mustardramp/mustardramp/gen/http/contract/client"
+	fleetc "github.com/mustardramp/mustardramp/gen/http/fleet/client"
+	ledgerc "github.com/mustardramp/mustardramp/gen/http/ledger/client"
 	refusalc "github.com/mustardramp/mustardramp/gen/http/refusal/client"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -23,13 +26,19 @@
 //	command (subcommand1|subcommand2|...)
 func UsageCommands() []string {
 	return []string{
-		"refusal show",
+		"ledger (show|settle)",
+		"refusal (show|list)",
+		"contract (check|publish|list|show|log)",
+		"fleet (status|backends|drain|metrics)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "refusal show --id \"Molestiae aut quaerat consequuntur optio neque.\" --token \"Est animi nihil explicabo.\"" + "\n" +
+	return os.Args[0] + " " + "ledger show --service \"Veritatis aut atque vitae facilis sequi.\" --caller \"Cum ipsa quaerat placeat dolores nobis aliquam.\" --key \"Iste vitae eos et fugiat sint.\" --token \"Inventore doloremque impedit voluptatem atque necessitatibus placeat.\"" + "\n" +
+		os.Args[0] + " " + "refusal show --id \"2df\" --token \"Reprehenderit est ea.\"" + "\n" +
+		os.Args[0] + " " + "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 17573222782379407481,\n            \"name\": \"1uk\",\n            \"source\": \"uht\"\n         },\n         {\n            \"base\": 17573222782379407481,\n            \"name\": \"1uk\",\n            \"source\": \"uht\"\n         },\n         {\n            \"base\": 17573222782379407481,\n            \"name\": \"1uk\",\n            \"source\": \"uht\"\n         }\n      ]\n   }' --token \"Magni ut accusamus voluptas officia.\"" + "\n" +
+		os.Args[0] + " " + "fleet status --token \"Occaecati dolorem et maxime.\"" + "\n" +
 		""
 }
 
@@ -43,14 +52,99 @@
 	restore bool,
 ) (goa.Endpoint, any, error) {
 	var (
+		ledgerFlags = flag.NewFlagSet("ledger", flag.ContinueOnError)
+
+		ledgerShowFlags       = flag.NewFlagSet("show", flag.ExitOnError)
+		ledgerShowServiceFlag = ledgerShowFlags.String("service", "REQUIRED", "")
+		ledgerShowCallerFlag  = ledgerShowFlags.String("caller", "REQUIRED", "")
+		ledgerShowKeyFlag     = ledgerShowFlags.String("key", "REQUIRED", "")
+		ledgerShowTokenFlag   = ledgerShowFlags.String("token", "", "")
+
+		ledgerSettleFlags     = flag.NewFlagSet("settle", flag.ExitOnError)
+		ledgerSettleBodyFlag  = ledgerSettleFlags.String("body", "REQUIRED", "")
+		ledgerSettleTokenFlag = ledgerSettleFlags.String("token", "", "")
+
 		refusalFlags = flag.NewFlagSet("refusal", flag.ContinueOnError)
 
 		refusalShowFlags     = flag.NewFlagSet("show", flag.ExitOnError)
 		refusalShowIDFlag    = refusalShowFlags.String("id", "REQUIRED", "Refusal id or request id")
 		refusalShowTokenFlag = refusalShowFlags.String("token", "", "")
+
+		refusalListFlags       = flag.NewFlagSet("list", flag.ExitOnError)
+		refusalListAfterFlag   = refusalListFlags.String("after", "", "")
+		refusalListLimitFlag   = refusalListFlags.String("limit", "100", "")
+		refusalListCallerFlag  = refusalListFlags.String("caller", "", "")
+		refusalListServiceFlag = refusalListFlags.String("service", "", "")
+		refusalListSinceFlag   = refusalListFlags.String("since", "", "")
+		refusalListTokenFlag   = refusalListFlags.String("token", "", "")
+
+		contractFlags = flag.NewFlagSet("contract", flag.ContinueOnError)
+
+		contractCheckFlags     = flag.NewFlagSet("check", flag.ExitOnError)
+		contractCheckBodyFlag  = contractCheckFlags.String("body", "REQUIRED", "")
+		contractCheckTokenFlag = contractCheckFlags.String("token", "", "")
+
+		contractPublishFlags     = flag.NewFlagSet("publish", flag.ExitOnError)
+		contractPublishBodyFlag  = contractPublishFlags.String("body", "REQUIRED", "")
+		contractPublishTokenFlag = contractPublishFlags.String("token", "", "")
+
+		contractListFlags     = flag.NewFlagSet("list", flag.ExitOnError)
+		contractListAfterFlag = contractListFlags.String("after", "", "")
+		contractListLimitFlag = contractListFlags.String("limit", "100", "")
+		contractListTokenFlag = contractListFlags.String("token", "", "")
+
+		contractShowFlags        = flag.NewFlagSet("show", flag.ExitOnError)
+		contractShowServiceFlag  = contractShowFlags.String("service", "REQUIRED", "")
+		contractShowRevisionFlag = contractShowFlags.String("revision", "", "")
+		contractShowTokenFlag    = contractShowFlags.String("token", "", "")
+
+		contractLogFlags       = flag.NewFlagSet("log", flag.ExitOnError)
+		contractLogAfterFlag   = contractLogFlags.String("after", "", "")
+		contractLogLimitFlag   = contractLogFlags.String("limit", "100", "")
+		contractLogServiceFlag = contractLogFlags.String("service", "", "")
+		contractLogTokenFlag   = contractLogFlags.String("token", "", "")
+
+		fleetFlags = flag.NewFlagSet("fleet", flag.ContinueOnError)
+
+		fleetStatusFlags     = flag.NewFlagSet("status", flag.ExitOnError)
+		fleetStatusTokenFlag = fleetStatusFlags.String("token", "", "")
+
+		fleetBackendsFlags       = flag.NewFlagSet("backends", flag.ExitOnError)
+		fleetBackendsAfterFlag   = fleetBackendsFlags.String("after", "", "")
+		fleetBackendsLimitFlag   = fleetBackendsFlags.String("limit", "100", "")
+		fleetBackendsServiceFlag = fleetBackendsFlags.String("service", "", "")
+		fleetBackendsTokenFlag   = fleetBackendsFlags.String("token", "", "")
+
+		fleetDrainFlags     = flag.NewFlagSet("drain", flag.ExitOnError)
+		fleetDrainBodyFlag  = fleetDrainFlags.String("body", "REQUIRED", "")
+		fleetDrainTokenFlag = fleetDrainFlags.String("token", "", "")
+
+		fleetMetricsFlags      = flag.NewFlagSet("metrics", flag.ExitOnError)
+		fleetMetricsAfterFlag  = fleetMetricsFlags.String("after", "", "")
+		fleetMetricsLimitFlag  = fleetMetricsFlags.String("limit", "100", "")
+		fleetMetricsPrefixFlag = fleetMetricsFlags.String("prefix", "", "")
+		fleetMetricsTokenFlag  = fleetMetricsFlags.String("token", "", "")
 	)
+	ledgerFlags.Usage = ledgerUsage
+	ledgerShowFlags.Usage = ledgerShowUsage
+	ledgerSettleFlags.Usage = ledgerSettleUsage
+
 	refusalFlags.Usage = refusalUsage
 	refusalShowFlags.Usage = refusalShowUsage
+	refusalListFlags.Usage = refusalListUsage
+
+	contractFlags.Usage = contractUsage
+	contractCheckFlags.Usage = contractCheckUsage
+	contractPublishFlags.Usage = contractPublishUsage
+	contractListFlags.Usage = contractListUsage
+	contractShowFlags.Usage = contractShowUsage
+	contractLogFlags.Usage = contractLogUsage
+
+	fleetFlags.Usage = fleetUsage
+	fleetStatusFlags.Usage = fleetStatusUsage
+	fleetBackendsFlags.Usage = fleetBackendsUsage
+	fleetDrainFlags.Usage = fleetDrainUsage
+	fleetMetricsFlags.Usage = fleetMetricsUsage
 
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
@@ -67,8 +161,14 @@
 	{
 		svcn = flag.Arg(0)
 		switch svcn {
+		case "ledger":
+			svcf = ledgerFlags
 		case "refusal":
 			svcf = refusalFlags
+		case "contract":
+			svcf = contractFlags
+		case "fleet":
+			svcf = fleetFlags
 		default:
 			return nil, nil, fmt.Errorf("unknown service %q", svcn)
 		}
@@ -84,11 +184,59 @@
 	{
 		epn = svcf.Arg(0)
 		switch svcn {
+		case "ledger":
+			switch epn {
+			case "show":
+				epf = ledgerShowFlags
+
+			case "settle":
+				epf = ledgerSettleFlags
+
+			}
+
 		case "refusal":
 			switch epn {
 			case "show":
 				epf = refusalShowFlags
 
+			case "list":
+				epf = refusalListFlags
+
+			}
+
+		case "contract":
+			switch epn {
+			case "check":
+				epf = contractCheckFlags
+
+			case "publish":
+				epf = contractPublishFlags
+
+			case "list":
+				epf = contractListFlags
+
+			case "show":
+				epf = contractShowFlags
+
+			case "log":
+				epf = contractLogFlags
+
+			}
+
+		case "fleet":
+			switch epn {
+			case "status":
+				epf = fleetStatusFlags
+
+			case "backends":
+				epf = fleetBackendsFlags
+
+			case "drain":
+				epf = fleetDrainFlags
+
+			case "metrics":
+				epf = fleetMetricsFlags
+
 			}
 
 		}
@@ -111,12 +259,60 @@
 	)
 	{
 		switch svcn {
+		case "ledger":
+			c := ledgerc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "show":
+				endpoint = c.Show()
+				data, err = ledgerc.BuildShowPayload(*ledgerShowServiceFlag, *ledgerShowCallerFlag, *ledgerShowKeyFlag, *ledgerShowTokenFlag)
+			case "settle":
+				endpoint = c.Settle()
+				data, err = ledgerc.BuildSettlePayload(*ledgerSettleBodyFlag, *ledgerSettleTokenFlag)
+			}
 		case "refusal":
 			c := refusalc.NewClient(scheme, host, doer, enc, dec, restore)
 			switch epn {
 			case "show":
 				endpoint = c.Show()
 				data, err = refusalc.BuildShowPayload(*refusalShowIDFlag, *refusalShowTokenFlag)
+			case "list":
+				endpoint = c.List()
+				data, err = refusalc.BuildListPayload(*refusalListAfterFlag, *refusalListLimitFlag, *refusalListCallerFlag, *refusalListServiceFlag, *refusalListSinceFlag, *refusalListTokenFlag)
+			}
+		case "contract":
+			c := contractc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "check":
+				endpoint = c.Check()
+				data, err = contractc.BuildCheckPayload(*contractCheckBodyFlag, *contractCheckTokenFlag)
+			case "publish":
+				endpoint = c.Publish()
+				data, err = contractc.BuildPublishPayload(*contractPublishBodyFlag, *contractPublishTokenFlag)
+			case "list":
+				endpoint = c.List()
+				data, err = contractc.BuildListPayload(*contractListAfterFlag, *contractListLimitFlag, *contractListTokenFlag)
+			case "show":
+				endpoint = c.Show()
+				data, err = contractc.BuildShowPayload(*contractShowServiceFlag, *contractShowRevisionFlag, *contractShowTokenFlag)
+			case "log":
+				endpoint = c.Log()
+				data, err = contractc.BuildLogPayload(*contractLogAfterFlag, *contractLogLimitFlag, *contractLogServiceFlag, *contractLogTokenFlag)
+			}
+		case "fleet":
+			c := fleetc.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "status":
+				endpoint = c.Status()
+				data, err = fleetc.BuildStatusPayload(*fleetStatusTokenFlag)
+			case "backends":
+				endpoint = c.Backends()
+				data, err = fleetc.BuildBackendsPayload(*fleetBackendsAfterFlag, *fleetBackendsLimitFlag, *fleetBackendsServiceFlag, *fleetBackendsTokenFlag)
+			case "drain":
+				endpoint = c.Drain()
+				data, err = fleetc.BuildDrainPayload(*fleetDrainBodyFlag, *fleetDrainTokenFlag)
+			case "metrics":
+				endpoint = c.Metrics()
+				data, err = fleetc.BuildMetricsPayload(*fleetMetricsAfterFlag, *fleetMetricsLimitFlag, *fleetMetricsPrefixFlag, *fleetMetricsTokenFlag)
 			}
 		}
 	}
@@ -127,12 +323,68 @@
 	return endpoint, data, nil
 }
 
+// ledgerUsage displays the usage of the ledger command and its subcommands.
+func ledgerUsage() {
+	fmt.Fprintln(os.Stderr, `Once-only operations.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] ledger COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    show: Shows an operation's entry, from a confirmed read.`)
+	fmt.Fprintln(os.Stderr, `    settle: Records what an operator found out about an operation whose outcome is unknown.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s ledger COMMAND --help\n", os.Args[0])
+}
+func ledgerShowUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] ledger show", os.Args[0])
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -caller STRING")
+	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Shows an operation's entry, from a confirmed read.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -caller STRING: `)
+	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger show --service \"Veritatis aut atque vitae facilis sequi.\" --caller \"Cum ipsa quaerat placeat dolores nobis aliquam.\" --key \"Iste vitae eos et fugiat sint.\" --token \"Inventore doloremque impedit voluptatem atque necessitatibus placeat.\"")
+}
+
+func ledgerSettleUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] ledger settle", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Records what an operator found out about an operation whose outcome is unknown.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger settle --body '{\n      \"caller\": \"Ut consectetur.\",\n      \"key\": \"Nisi quae iure.\",\n      \"outcome\": \"ran\",\n      \"service\": \"Ullam nihil dolor sit sed ut.\",\n      \"who\": \"Consequatur minima sequi voluptas quia sequi.\",\n      \"why\": \"Id facilis similique itaque numquam et molestias.\"\n   }' --token \"Optio minima in.\"")
+}
+
 // refusalUsage displays the usage of the refusal command and its subcommands.
 func refusalUsage() {
 	fmt.Fprintln(os.Stderr, `Refusals that a host remembers.`)
 	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] refusal COMMAND [flags]\n\n", os.Args[0])
 	fmt.Fprintln(os.Stderr, "COMMAND:")
-	fmt.Fprintln(os.Stderr, `    show: Shows one refusal by its id or by the caller's own request id.`)
+	fmt.Fprintln(os.Stderr, `    show: Shows one refusal by its id or by the caller's own request id. Any host may be asked: it asks the host that refused.`)
+	fmt.Fprintln(os.Stderr, `    list: Lists this host's refusals, newest first.`)
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Additional help:")
 	fmt.Fprintf(os.Stderr, "    %s refusal COMMAND --help\n", os.Args[0])
@@ -146,7 +398,7 @@
 
 	// Description
 	fmt.Fprintln(os.Stderr)
-	fmt.Fprintln(os.Stderr, `Shows one refusal by its id or by the caller's own request id.`)
+	fmt.Fprintln(os.Stderr, `Shows one refusal by its id or by the caller's own request id. Any host may be asked: it asks the host that refused.`)
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -id STRING: Refusal id or request id`)
@@ -154,5 +406,254 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal show --id \"Molestiae aut quaerat consequuntur optio neque.\" --token \"Est animi nihil explicabo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal show --id \"2df\" --token \"Reprehenderit est ea.\"")
+}
+
+func refusalListUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] refusal list", os.Args[0])
+	fmt.Fprint(os.Stderr, " -after STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -caller STRING")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -since STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists this host's refusals, newest first.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -after STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -caller STRING: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -since STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal list --after \"Alias esse porro nam pariatur voluptate quasi.\" --limit 222 --caller \"Alias velit.\" --service \"Voluptatem adipisci beatae dicta.\" --since \"1972-12-05T01:03:39Z\" --token \"Eum ad quos et omnis labore dolorem.\"")
+}
+
+// contractUsage displays the usage of the contract command and its subcommands.
+func contractUsage() {
+	fmt.Fprintln(os.Stderr, `The services' contracts.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] contract COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    check: Reports every fault in files, also against the contracts in force.`)
+	fmt.Fprintln(os.Stderr, `    publish: Puts files in force as one change. A resent change returns the first result.`)
+	fmt.Fprintln(os.Stderr, `    list: Lists the contracts in force at this host.`)
+	fmt.Fprintln(os.Stderr, `    show: Shows a contract's text.`)
+	fmt.Fprintln(os.Stderr, `    log: Lists accepted changes, newest first.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s contract COMMAND --help\n", os.Args[0])
+}
+func contractCheckUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] contract check", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Reports every fault in files, also against the contracts in force.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 17573222782379407481,\n            \"name\": \"1uk\",\n            \"source\": \"uht\"\n         },\n         {\n            \"base\": 17573222782379407481,\n            \"name\": \"1uk\",\n            \"source\": \"uht\"\n         },\n         {\n            \"base\": 17573222782379407481,\n            \"name\": \"1uk\",\n            \"source\": \"uht\"\n         }\n      ]\n   }' --token \"Magni ut accusamus voluptas officia.\"")
+}
+
+func contractPublishUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] contract publish", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Puts files in force as one change. A resent change returns the first result.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract publish --body '{\n      \"change\": \"we\",\n      \"files\": [\n         {\n            \"base\": 17573222782379407481,\n            \"name\": \"1uk\",\n            \"source\": \"uht\"\n         }\n      ],\n      \"who\": \"55l\",\n      \"why\": \"q2w\"\n   }' --token \"Distinctio sed ex enim commodi.\"")
+}
+
+func contractListUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] contract list", os.Args[0])
+	fmt.Fprint(os.Stderr, " -after STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists the contracts in force at this host.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -after STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract list --after \"Sed accusantium tempora dolor magnam tempore ducimus.\" --limit 713 --token \"Ea quo cum sit qui omnis voluptatibus.\"")
+}
+
+func contractShowUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] contract show", os.Args[0])
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -revision UINT64")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Shows a contract's text.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -revision UINT64: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract show --service \"Necessitatibus libero quia omnis explicabo error.\" --revision 9233253460223558263 --token \"Voluptatem possimus et aperiam magnam qui.\"")
+}
+
+func contractLogUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] contract log", os.Args[0])
+	fmt.Fprint(os.Stderr, " -after STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists accepted changes, newest first.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -after STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract log --after \"Id ut nemo aut esse incidunt.\" --limit 325 --service \"Qui a voluptates cumque saepe et laboriosam.\" --token \"Cum doloribus iure esse.\"")
+}
+
+// fleetUsage displays the usage of the fleet command and its subcommands.
+func fleetUsage() {
+	fmt.Fprintln(os.Stderr, `Hosts, backends, links, ranks and measurements.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] fleet COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    status: Shows the asked host's view of the fleet.`)
+	fmt.Fprintln(os.Stderr, `    backends: Lists backends with their standing and its evidence.`)
+	fmt.Fprintln(os.Stderr, `    drain: Stops the asked host gracefully: no request in flight is cut off.`)
+	fmt.Fprintln(os.Stderr, `    metrics: Shows the host's histograms.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s fleet COMMAND --help\n", os.Args[0])
+}
+func fleetStatusUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] fleet status", os.Args[0])
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Shows the asked host's view of the fleet.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Occaecati dolorem et maxime.\"")
+}
+
+func fleetBackendsUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] fleet backends", os.Args[0])
+	fmt.Fprint(os.Stderr, " -after STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -service STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists backends with their standing and its evidence.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -after STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -service STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet backends --after \"Placeat quia autem voluptatum nam provident.\" --limit 330 --service \"Nisi illum cumque libero blanditiis.\" --token \"Aut aliquid id expedita natus est ut.\"")
+}
+
+func fleetDrainUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] fleet drain", os.Args[0])
+	fmt.Fprint(os.Stderr, " -body JSON")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Stops the asked host gracefully: no request in flight is cut off.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -body JSON: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet drain --body '{\n      \"who\": \"Rem autem et quisquam ut.\",\n      \"why\": \"Sed explicabo expedita quia quia aut.\"\n   }' --token \"Fugit dolorem optio.\"")
+}
+
+func fleetMetricsUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] fleet metrics", os.Args[0])
+	fmt.Fprint(os.Stderr, " -after STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -prefix STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Shows the host's histograms.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -after STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -prefix STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet metrics --after \"Facilis enim mollitia aspernatur maiores dolore incidunt.\" --limit 39 --prefix \"Eius excepturi nisi quisquam esse.\" --token \"Vitae maxime molestiae eius.\"")
 }
--- a/gen/http/refusal/client/cli.go
+++ b/gen/http/refusal/client/cli.go
@@ -8,15 +8,27 @@
 package client
 
 import (
+	"fmt"
+	"strconv"
+	"unicode/utf8"
+
 	refusal "github.com/mustardramp/mustardramp/gen/refusal"
+	goa "goa.design/goa/v3/pkg"
 )
 
 // BuildShowPayload builds the payload for the refusal show endpoint from CLI
 // flags.
 func BuildShowPayload(refusalShowID string, refusalShowToken string) (*refusal.ShowPayload, error) {
+	var err error
 	var id string
 	{
 		id = refusalShowID
+		if utf8.RuneCountInString(id) > 256 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("id", id, utf8.RuneCountInString(id), 256, false))
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
 	var token *string
 	{
@@ -30,3 +42,72 @@
 
 	return v, nil
 }
+
+// BuildListPayload builds the payload for the refusal list endpoint from CLI
+// flags.
+func BuildListPayload(refusalListAfter string, refusalListLimit string, refusalListCaller string, refusalListService string, refusalListSince string, refusalListToken string) (*refusal.ListPayload, error) {
+	var err error
+	var after *string
+	{
+		if refusalListAfter != "" {
+			after = &refusalListAfter
+		}
+	}
+	var limit int
+	{
+		if refusalListLimit != "" {
+			var v int64
+			v, err = strconv.ParseInt(refusalListLimit, 10, strconv.IntSize)
+			limit = int(v)
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for limit, must be INT")
+			}
+			if limit < 1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1, true))
+			}
+			if limit > 1000 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1000, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	var caller *string
+	{
+		if refusalListCaller != "" {
+			caller = &refusalListCaller
+		}
+	}
+	var service *string
+	{
+		if refusalListService != "" {
+			service = &refusalListService
+		}
+	}
+	var since *string
+	{
+		if refusalListSince != "" {
+			since = &refusalListSince
+			err = goa.MergeErrors(err, goa.ValidateFormat("since", *since, goa.FormatDateTime))
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	var token *string
+	{
+		if refusalListToken != "" {
+			token = &refusalListToken
+		}
+	}
+	v := &refusal.ListPayload{}
+	v.After = after
+	v.Limit = limit
+	v.Caller = caller
+	v.Service = service
+	v.Since = since
+	v.Token = token
+
+	return v, nil
+}
--- a/gen/http/refusal/client/client.go
+++ b/gen/http/refusal/client/client.go
@@ -20,6 +20,9 @@
 	// Show Doer is the HTTP client used to make requests to the show endpoint.
 	ShowDoer goahttp.Doer
 
+	// List Doer is the HTTP client used to make requests to the list endpoint.
+	ListDoer goahttp.Doer
+
 	// RestoreResponseBody controls whether the response bodies are reset after
 	// decoding so they can be read again.
 	RestoreResponseBody bool
@@ -41,6 +44,7 @@
 ) *Client {
 	return &Client{
 		ShowDoer:            doer,
+		ListDoer:            doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
 		host:                host,
@@ -72,3 +76,27 @@
 		return decodeResponse(resp)
 	}
 }
+
+// List returns an endpoint that makes HTTP requests to the refusal service
+// list server.
+func (c *Client) List() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeListRequest(c.encoder)
+		decodeResponse = DecodeListResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildListRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ListDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("refusal", "list", err)
+		}
+		return decodeResponse(resp)
+	}
+}
--- a/gen/http/refusal/client/encode_decode.go
+++ b/gen/http/refusal/client/encode_decode.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -62,10 +63,6 @@
 // DecodeShowResponse returns a decoder for responses returned by the refusal
 // show endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
-// DecodeShowResponse may return the following errors:
-//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
-//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
-//   - error: internal error
 func DecodeShowResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
@@ -96,37 +93,95 @@
 			}
 			res := NewShowRefusalOK(&body)
 			return res, nil
-		case http.StatusUnauthorized:
-			var (
-				body ShowUnauthorizedResponseBody
-				err  error
-			)
-			err = decoder(resp).Decode(&body)
-			if err != nil {
-				return nil, goahttp.ErrDecodingError("refusal", "show", err)
-			}
-			err = ValidateShowUnauthorizedResponseBody(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("refusal", "show", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildListRequest instantiates a HTTP request object with method and path set
+// to call the "refusal" service "list" endpoint
+func (c *Client) BuildListRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ListRefusalPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("refusal", "list", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeListRequest returns an encoder for requests sent to the refusal list
+// server.
+func EncodeListRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*refusal.ListPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("refusal", "list", "*refusal.ListPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		values := req.URL.Query()
+		if p.After != nil {
+			values.Add("after", *p.After)
+		}
+		values.Add("limit", fmt.Sprintf("%v", p.Limit))
+		if p.Caller != nil {
+			values.Add("caller", *p.Caller)
+		}
+		if p.Service != nil {
+			values.Add("service", *p.Service)
+		}
+		if p.Since != nil {
+			values.Add("since", *p.Since)
+		}
+		req.URL.RawQuery = values.Encode()
+		return nil
+	}
+}
+
+// DecodeListResponse returns a decoder for responses returned by the refusal
+// list endpoint. restoreBody controls whether the response body should be
+// restored after having been read.
+func DecodeListResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("refusal", "show", err)
+				return nil, err
 			}
-			return nil, NewShowUnauthorized(&body)
-		case http.StatusNotFound:
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
 			var (
-				body ShowNotFoundResponseBody
+				body ListResponseBody
 				err  error
 			)
 			err = decoder(resp).Decode(&body)
 			if err != nil {
-				return nil, goahttp.ErrDecodingError("refusal", "show", err)
+				return nil, goahttp.ErrDecodingError("refusal", "list", err)
 			}
-			err = ValidateShowNotFoundResponseBody(&body)
+			err = ValidateListResponseBody(&body)
 			if err != nil {
-				return nil, goahttp.ErrValidationError("refusal", "show", err)
+				return nil, goahttp.ErrValidationError("refusal", "list", err)
 			}
-			return nil, NewShowNotFound(&body)
+			res := NewListResultOK(&body)
+			return res, nil
 		default:
 			body, _ := io.ReadAll(resp.Body)
-			return nil, goahttp.ErrInvalidResponse("refusal", "show", resp.StatusCode, string(body))
+			return nil, goahttp.ErrInvalidResponse("refusal", "list", resp.StatusCode, string(body))
 		}
 	}
 }
@@ -144,3 +199,65 @@
 
 	return res
 }
+
+// unmarshalLedgerEntryResponseBodyToRefusalLedgerEntry builds a value of type
+// *refusal.LedgerEntry from a value of type *LedgerEntryResponseBody.
+func unmarshalLedgerEntryResponseBodyToRefusalLedgerEntry(v *LedgerEntryResponseBody) *refusal.LedgerEntry {
+	if v == nil {
+		return nil
+	}
+	res := &refusal.LedgerEntry{
+		Service: *v.Service,
+		Caller:  *v.Caller,
+		Key:     *v.Key,
+		State:   *v.State,
+		Host:    v.Host,
+		Attempt: v.Attempt,
+		Status:  v.Status,
+		At:      v.At,
+	}
+
+	return res
+}
+
+// unmarshalRefusalResponseBodyToRefusalRefusal builds a value of type
+// *refusal.Refusal from a value of type *RefusalResponseBody.
+func unmarshalRefusalResponseBodyToRefusalRefusal(v *RefusalResponseBody) *refusal.Refusal {
+	res := &refusal.Refusal{
+		ID:           *v.ID,
+		Kind:         *v.Kind,
+		Operation:    *v.Operation,
+		Sending:      *v.Sending,
+		Rule:         *v.Rule,
+		RuleText:     v.RuleText,
+		RuleFile:     v.RuleFile,
+		Reason:       *v.Reason,
+		Advice:       *v.Advice,
+		RetryAfterMs: v.RetryAfterMs,
+		At:           *v.At,
+		Host:         *v.Host,
+		Caller:       *v.Caller,
+		Request:      v.Request,
+		Key:          v.Key,
+		Method:       *v.Method,
+		Path:         *v.Path,
+		Rank:         *v.Rank,
+		Backend:      v.Backend,
+		Attempts:     *v.Attempts,
+	}
+	if v.Facts != nil {
+		res.Facts = make([]*refusal.Fact, len(v.Facts))
+		for i, val := range v.Facts {
+			if val == nil {
+				res.Facts[i] = nil
+				continue
+			}
+			res.Facts[i] = unmarshalFactResponseBodyToRefusalFact(val)
+		}
+	}
+	if v.Ledger != nil {
+		res.Ledger = unmarshalLedgerEntryResponseBodyToRefusalLedgerEntry(v.Ledger)
+	}
+
+	return res
+}
--- a/gen/http/refusal/client/types.go
+++ b/gen/http/refusal/client/types.go
@@ -22,56 +22,38 @@
 	// not-run, may-have-run or ran
 	Sending *string `form:"sending,omitempty" json:"sending,omitempty" xml:"sending,omitempty"`
 	// service@revision:line
-	Rule         *string             `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
-	Reason       *string             `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	Rule *string `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// The contract's text at the rule, in the revision that was in force
+	RuleText *string `form:"rule_text,omitempty" json:"rule_text,omitempty" xml:"rule_text,omitempty"`
+	// The contract's file as it was published
+	RuleFile *string `form:"rule_file,omitempty" json:"rule_file,omitempty" xml:"rule_file,omitempty"`
+	Reason   *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What the caller may safely do now
+	Advice       *string             `form:"advice,omitempty" json:"advice,omitempty" xml:"advice,omitempty"`
 	Facts        []*FactResponseBody `form:"facts,omitempty" json:"facts,omitempty" xml:"facts,omitempty"`
 	RetryAfterMs *int64              `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
 	At           *string             `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
 	Host         *string             `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
 	Caller       *string             `form:"caller,omitempty" json:"caller,omitempty" xml:"caller,omitempty"`
-	Request      *string             `form:"request,omitempty" json:"request,omitempty" xml:"request,omitempty"`
-	Key          *string             `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
-	Method       *string             `form:"method,omitempty" json:"method,omitempty" xml:"method,omitempty"`
-	Path         *string             `form:"path,omitempty" json:"path,omitempty" xml:"path,omitempty"`
-	Rank         *string             `form:"rank,omitempty" json:"rank,omitempty" xml:"rank,omitempty"`
-	Backend      *string             `form:"backend,omitempty" json:"backend,omitempty" xml:"backend,omitempty"`
-	Attempts     *int                `form:"attempts,omitempty" json:"attempts,omitempty" xml:"attempts,omitempty"`
+	// The caller's own request id
+	Request *string `form:"request,omitempty" json:"request,omitempty" xml:"request,omitempty"`
+	// The operation's key
+	Key      *string `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	Method   *string `form:"method,omitempty" json:"method,omitempty" xml:"method,omitempty"`
+	Path     *string `form:"path,omitempty" json:"path,omitempty" xml:"path,omitempty"`
+	Rank     *string `form:"rank,omitempty" json:"rank,omitempty" xml:"rank,omitempty"`
+	Backend  *string `form:"backend,omitempty" json:"backend,omitempty" xml:"backend,omitempty"`
+	Attempts *int    `form:"attempts,omitempty" json:"attempts,omitempty" xml:"attempts,omitempty"`
+	// The operation's ledger entry as it is now, when it can be read
+	Ledger *LedgerEntryResponseBody `form:"ledger,omitempty" json:"ledger,omitempty" xml:"ledger,omitempty"`
 }
 
-// ShowUnauthorizedResponseBody is the type of the "refusal" service "show"
-// endpoint HTTP response body for the "unauthorized" error.
-type ShowUnauthorizedResponseBody struct {
-	// Name is the name of this class of errors.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// ID is a unique identifier for this particular occurrence of the problem.
-	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	// Message is a human-readable explanation specific to this occurrence of the
-	// problem.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// Is the error temporary?
-	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
-	// Is the error a timeout?
-	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
-	// Is the error a server-side fault?
-	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
-}
-
-// ShowNotFoundResponseBody is the type of the "refusal" service "show"
-// endpoint HTTP response body for the "not_found" error.
-type ShowNotFoundResponseBody struct {
-	// Name is the name of this class of errors.
-	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	// ID is a unique identifier for this particular occurrence of the problem.
-	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	// Message is a human-readable explanation specific to this occurrence of the
-	// problem.
-	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
-	// Is the error temporary?
-	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
-	// Is the error a timeout?
-	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
-	// Is the error a server-side fault?
-	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+// ListResponseBody is the type of the "refusal" service "list" endpoint HTTP
+// response body.
+type ListResponseBody struct {
+	Items []*RefusalResponseBody `form:"items,omitempty" json:"items,omitempty" xml:"items,omitempty"`
+	// Cursor of the next page, or empty
+	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
 }
 
 // FactResponseBody is used to define fields on response body types.
@@ -80,6 +62,56 @@
 	Value *string `form:"value,omitempty" json:"value,omitempty" xml:"value,omitempty"`
 }
 
+// LedgerEntryResponseBody is used to define fields on response body types.
+type LedgerEntryResponseBody struct {
+	Service *string `form:"service,omitempty" json:"service,omitempty" xml:"service,omitempty"`
+	Caller  *string `form:"caller,omitempty" json:"caller,omitempty" xml:"caller,omitempty"`
+	Key     *string `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	// claimed, ran, not-run or unknown
+	State *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
+	// The host that holds or held the claim
+	Host    *string `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
+	Attempt *uint64 `form:"attempt,omitempty" json:"attempt,omitempty" xml:"attempt,omitempty"`
+	// The answer's HTTP status, when it ran
+	Status *int    `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	At     *string `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
+}
+
+// RefusalResponseBody is used to define fields on response body types.
+type RefusalResponseBody struct {
+	ID   *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// not-run, may-have-run or ran
+	Operation *string `form:"operation,omitempty" json:"operation,omitempty" xml:"operation,omitempty"`
+	// not-run, may-have-run or ran
+	Sending *string `form:"sending,omitempty" json:"sending,omitempty" xml:"sending,omitempty"`
+	// service@revision:line
+	Rule *string `form:"rule,omitempty" json:"rule,omitempty" xml:"rule,omitempty"`
+	// The contract's text at the rule, in the revision that was in force
+	RuleText *string `form:"rule_text,omitempty" json:"rule_text,omitempty" xml:"rule_text,omitempty"`
+	// The contract's file as it was published
+	RuleFile *string `form:"rule_file,omitempty" json:"rule_file,omitempty" xml:"rule_file,omitempty"`
+	Reason   *string `form:"reason,omitempty" json:"reason,omitempty" xml:"reason,omitempty"`
+	// What the caller may safely do now
+	Advice       *string             `form:"advice,omitempty" json:"advice,omitempty" xml:"advice,omitempty"`
+	Facts        []*FactResponseBody `form:"facts,omitempty" json:"facts,omitempty" xml:"facts,omitempty"`
+	RetryAfterMs *int64              `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	At           *string             `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
+	Host         *string             `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
+	Caller       *string             `form:"caller,omitempty" json:"caller,omitempty" xml:"caller,omitempty"`
+	// The caller's own request id
+	Request *string `form:"request,omitempty" json:"request,omitempty" xml:"request,omitempty"`
+	// The operation's key
+	Key      *string `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	Method   *string `form:"method,omitempty" json:"method,omitempty" xml:"method,omitempty"`
+	Path     *string `form:"path,omitempty" json:"path,omitempty" xml:"path,omitempty"`
+	Rank     *string `form:"rank,omitempty" json:"rank,omitempty" xml:"rank,omitempty"`
+	Backend  *string `form:"backend,omitempty" json:"backend,omitempty" xml:"backend,omitempty"`
+	Attempts *int    `form:"attempts,omitempty" json:"attempts,omitempty" xml:"attempts,omitempty"`
+	// The operation's ledger entry as it is now, when it can be read
+	Ledger *LedgerEntryResponseBody `form:"ledger,omitempty" json:"ledger,omitempty" xml:"ledger,omitempty"`
+}
+
 // NewShowRefusalOK builds a "refusal" service "show" endpoint result from a
 // HTTP "OK" response.
 func NewShowRefusalOK(body *ShowResponseBody) *refusal.Refusal {
@@ -89,18 +121,21 @@
 		Operation:    *body.Operation,
 		Sending:      *body.Sending,
 		Rule:         *body.Rule,
+		RuleText:     body.RuleText,
+		RuleFile:     body.RuleFile,
 		Reason:       *body.Reason,
+		Advice:       *body.Advice,
 		RetryAfterMs: body.RetryAfterMs,
 		At:           *body.At,
 		Host:         *body.Host,
-		Caller:       body.Caller,
+		Caller:       *body.Caller,
 		Request:      body.Request,
 		Key:          body.Key,
 		Method:       *body.Method,
 		Path:         *body.Path,
 		Rank:         *body.Rank,
 		Backend:      body.Backend,
-		Attempts:     body.Attempts,
+		Attempts:     *body.Attempts,
 	}
 	if body.Facts != nil {
 		v.Facts = make([]*refusal.Fact, len(body.Facts))
@@ -112,34 +147,26 @@
 			v.Facts[i] = unmarshalFactResponseBodyToRefusalFact(val)
 		}
 	}
-
-	return v
-}
-
-// NewShowUnauthorized builds a refusal service show endpoint unauthorized
-// error.
-func NewShowUnauthorized(body *ShowUnauthorizedResponseBody) *goa.ServiceError {
-	v := &goa.ServiceError{
-		Name:      *body.Name,
-		ID:        *body.ID,
-		Message:   *body.Message,
-		Temporary: *body.Temporary,
-		Timeout:   *body.Timeout,
-		Fault:     *body.Fault,
+	if body.Ledger != nil {
+		v.Ledger = unmarshalLedgerEntryResponseBodyToRefusalLedgerEntry(body.Ledger)
 	}
 
 	return v
 }
 
-// NewShowNotFound builds a refusal service show endpoint not_found error.
-func NewShowNotFound(body *ShowNotFoundResponseBody) *goa.ServiceError {
-	v := &goa.ServiceError{
-		Name:      *body.Name,
-		ID:        *body.ID,
-		Message:   *body.Message,
-		Temporary: *body.Temporary,
-		Timeout:   *body.Timeout,
-		Fault:     *body.Fault,
+// NewListResultOK builds a "refusal" service "list" endpoint result from a
+// HTTP "OK" response.
+func NewListResultOK(body *ListResponseBody) *refusal.ListResult {
+	v := &refusal.ListResult{
+		Next: *body.Next,
+	}
+	v.Items = make([]*refusal.Refusal, len(body.Items))
+	for i, val := range body.Items {
+		if val == nil {
+			v.Items[i] = nil
+			continue
+		}
+		v.Items[i] = unmarshalRefusalResponseBodyToRefusalRefusal(val)
 	}
 
 	return v
@@ -165,12 +192,18 @@
 	if body.Reason == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
 	}
+	if body.Advice == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("advice", "body"))
+	}
 	if body.At == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("at", "body"))
 	}
 	if body.Host == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("host", "body"))
 	}
+	if body.Caller == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("caller", "body"))
+	}
 	if body.Method == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("method", "body"))
 	}
@@ -180,6 +213,9 @@
 	if body.Rank == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("rank", "body"))
 	}
+	if body.Attempts == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("attempts", "body"))
+	}
 	for _, e := range body.Facts {
 		if e != nil {
 			if err2 := ValidateFactResponseBody(e); err2 != nil {
@@ -190,64 +226,123 @@
 	if body.At != nil {
 		err = goa.MergeErrors(err, goa.ValidateFormat("body.at", *body.At, goa.FormatDateTime))
 	}
+	if body.Ledger != nil {
+		if err2 := ValidateLedgerEntryResponseBody(body.Ledger); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
+	}
+	return
+}
+
+// ValidateListResponseBody runs the validations defined on ListResponseBody
+func ValidateListResponseBody(body *ListResponseBody) (err error) {
+	if body.Items == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("items", "body"))
+	}
+	if body.Next == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("next", "body"))
+	}
+	for _, e := range body.Items {
+		if e != nil {
+			if err2 := ValidateRefusalResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
 	return
 }
 
-// ValidateShowUnauthorizedResponseBody runs the validations defined on
-// show_unauthorized_response_body
-func ValidateShowUnauthorizedResponseBody(body *ShowUnauthorizedResponseBody) (err error) {
+// ValidateFactResponseBody runs the validations defined on FactResponseBody
+func ValidateFactResponseBody(body *FactResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.ID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	if body.Value == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("value", "body"))
+	}
+	return
+}
+
+// ValidateLedgerEntryResponseBody runs the validations defined on
+// LedgerEntryResponseBody
+func ValidateLedgerEntryResponseBody(body *LedgerEntryResponseBody) (err error) {
+	if body.Service == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("service", "body"))
 	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	if body.Caller == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("caller", "body"))
 	}
-	if body.Temporary == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	if body.Key == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("key", "body"))
 	}
-	if body.Timeout == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	if body.State == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("state", "body"))
 	}
-	if body.Fault == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	if body.At != nil {
+		err = goa.MergeErrors(err, goa.ValidateFormat("body.at", *body.At, goa.FormatDateTime))
 	}
 	return
 }
 
-// ValidateShowNotFoundResponseBody runs the validations defined on
-// show_not_found_response_body
-func ValidateShowNotFoundResponseBody(body *ShowNotFoundResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
-	}
+// ValidateRefusalResponseBody runs the validations defined on
+// RefusalResponseBody
+func ValidateRefusalResponseBody(body *RefusalResponseBody) (err error) {
 	if body.ID == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
 	}
-	if body.Message == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Temporary == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	if body.Operation == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("operation", "body"))
 	}
-	if body.Timeout == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	if body.Sending == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("sending", "body"))
 	}
-	if body.Fault == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	if body.Rule == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("rule", "body"))
 	}
-	return
-}
-
-// ValidateFactResponseBody runs the validations defined on FactResponseBody
-func ValidateFactResponseBody(body *FactResponseBody) (err error) {
-	if body.Name == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	if body.Reason == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("reason", "body"))
 	}
-	if body.Value == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("value", "body"))
+	if body.Advice == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("advice", "body"))
+	}
+	if body.At == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("at", "body"))
+	}
+	if body.Host == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("host", "body"))
+	}
+	if body.Caller == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("caller", "body"))
+	}
+	if body.Method == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("method", "body"))
+	}
+	if body.Path == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("path", "body"))
+	}
+	if body.Rank == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("rank", "body"))
+	}
+	if body.Attempts == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("attempts", "body"))
+	}
+	for _, e := range body.Facts {
+		if e != nil {
+			if err2 := ValidateFactResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	if body.At != nil {
+		err = goa.MergeErrors(err, goa.ValidateFormat("body.at", *body.At, goa.FormatDateTime))
+	}
+	if body.Ledger != nil {
+		if err2 := ValidateLedgerEntryResponseBody(body.Ledger); err2 != nil {
+			err = goa.MergeErrors(err, err2)
+		}
 	}
 	return
 }
--- a/gen/http/refusal/server/encode_decode.go
+++ b/gen/http/refusal/server/encode_decode.go
@@ -9,8 +9,10 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
+	"strconv"
+	"strings"
+	"unicode/utf8"
 
 	refusal "github.com/mustardramp/mustardramp/gen/refusal"
 	goahttp "goa.design/goa/v3/http"
@@ -37,59 +39,115 @@
 		var (
 			id    string
 			token *string
+			err   error
 
 			params = mux.Vars(r)
 		)
 		id = params["id"]
+		if utf8.RuneCountInString(id) > 256 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("id", id, utf8.RuneCountInString(id), 256, false))
+		}
 		tokenRaw := r.Header.Get("Authorization")
 		if tokenRaw != "" {
 			token = &tokenRaw
 		}
+		if err != nil {
+			return payload, err
+		}
 		payload = NewShowPayload(id, token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
+			}
+		}
 
 		return payload, nil
 	}
 }
 
-// EncodeShowError returns an encoder for errors returned by the show refusal
+// EncodeListResponse returns an encoder for responses returned by the refusal
+// list endpoint.
+func EncodeListResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*refusal.ListResult)
+		enc := encoder(ctx, w)
+		body := NewListResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeListRequest returns a decoder for requests sent to the refusal list
 // endpoint.
-func EncodeShowError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
-	encodeError := goahttp.ErrorEncoder(encoder, formatter)
-	return func(ctx context.Context, w http.ResponseWriter, v error) error {
-		var en goa.GoaErrorNamer
-		if !errors.As(v, &en) {
-			return encodeError(ctx, w, v)
-		}
-		switch en.GoaErrorName() {
-		case "unauthorized":
-			var res *goa.ServiceError
-			errors.As(v, &res)
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
+func DecodeListRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*refusal.ListPayload, error) {
+	return func(r *http.Request) (*refusal.ListPayload, error) {
+		var payload *refusal.ListPayload
+		var (
+			after   *string
+			limit   int
+			caller  *string
+			service *string
+			since   *string
+			token   *string
+			err     error
+		)
+		qp := r.URL.Query()
+		afterRaw := qp.Get("after")
+		if afterRaw != "" {
+			after = &afterRaw
+		}
+		{
+			limitRaw := qp.Get("limit")
+			if limitRaw == "" {
+				limit = 100
 			} else {
-				body = NewShowUnauthorizedResponseBody(res)
+				v, err2 := strconv.ParseInt(limitRaw, 10, strconv.IntSize)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("limit", limitRaw, "integer"))
+				}
+				limit = int(v)
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusUnauthorized)
-			return enc.Encode(body)
-		case "not_found":
-			var res *goa.ServiceError
-			errors.As(v, &res)
-			enc := encoder(ctx, w)
-			var body any
-			if formatter != nil {
-				body = formatter(ctx, res)
-			} else {
-				body = NewShowNotFoundResponseBody(res)
+		}
+		if limit < 1 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1, true))
+		}
+		if limit > 1000 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("limit", limit, 1000, false))
+		}
+		callerRaw := qp.Get("caller")
+		if callerRaw != "" {
+			caller = &callerRaw
+		}
+		serviceRaw := qp.Get("service")
+		if serviceRaw != "" {
+			service = &serviceRaw
+		}
+		sinceRaw := qp.Get("since")
+		if sinceRaw != "" {
+			since = &sinceRaw
+		}
+		if since != nil {
+			err = goa.MergeErrors(err, goa.ValidateFormat("since", *since, goa.FormatDateTime))
+		}
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewListPayload(after, limit, caller, service, since, token)
+		if payload.Token != nil {
+			if strings.Contains(*payload.Token, " ") {
+				// Remove authorization scheme prefix (e.g. "Bearer")
+				cred := strings.SplitN(*payload.Token, " ", 2)[1]
+				payload.Token = &cred
 			}
-			w.Header().Set("goa-error", res.GoaErrorName())
-			w.WriteHeader(http.StatusNotFound)
-			return enc.Encode(body)
-		default:
-			return encodeError(ctx, w, v)
 		}
+
+		return payload, nil
 	}
 }
 
@@ -106,3 +164,65 @@
 
 	return res
 }
+
+// marshalRefusalLedgerEntryToLedgerEntryResponseBody builds a value of type
+// *LedgerEntryResponseBody from a value of type *refusal.LedgerEntry.
+func marshalRefusalLedgerEntryToLedgerEntryResponseBody(v *refusal.LedgerEntry) *LedgerEntryResponseBody {
+	if v == nil {
+		return nil
+	}
+	res := &LedgerEntryResponseBody{
+		Service: v.Service,
+		Caller:  v.Caller,
+		Key:     v.Key,
+		State:   v.State,
+		Host:    v.Host,
+		Attempt: v.Attempt,
+		Status:  v.Status,
+		At:      v.At,
+	}
+
+	return res
+}
+
+// marshalRefusalRefusalToRefusalResponseBody builds a value of type
+// *RefusalResponseBody from a value of type *refusal.Refusal.
+func marshalRefusalRefusalToRefusalResponseBody(v *refusal.Refusal) *RefusalResponseBody {
+	res := &RefusalResponseBody{
+		ID:           v.ID,
+		Kind:         v.Kind,
+		Operation:    v.Operation,
+		Sending:      v.Sending,
+		Rule:         v.Rule,
+		RuleText:     v.RuleText,
+		RuleFile:     v.RuleFile,
+		Reason:       v.Reason,
+		Advice:       v.Advice,
+		RetryAfterMs: v.RetryAfterMs,
+		At:           v.At,
+		Host:         v.Host,
+		Caller:       v.Caller,
+		Request:      v.Request,
+		Key:          v.Key,
+		Method:       v.Method,
+		Path:         v.Path,
+		Rank:         v.Rank,
+		Backend:      v.Backend,
+		Attempts:     v.Attempts,
+	}
+	if v.Facts != nil {
+		res.Facts = make([]*FactResponseBody, len(v.Facts))
+		for i, val := range v.Facts {
+			if val == nil {
+				res.Facts[i] = nil
+				continue
+			}
+			res.Facts[i] = marshalRefusalFactToFactResponseBody(val)
+		}
+	}
+	if v.Ledger != nil {
+		res.Ledger = marshalRefusalLedgerEntryToLedgerEntryResponseBody(v.Ledger)
+	}
+
+	return res
+}
--- a/gen/http/refusal/server/paths.go
+++ b/gen/http/refusal/server/paths.go
@@ -15,3 +15,8 @@
 func ShowRefusalPath(id string) string {
 	return fmt.Sprintf("/v1/refusals/%v", id)
 }
+
+// ListRefusalPath returns the URL path to the refusal service list HTTP endpoint.
+func ListRefusalPath() string {
+	return "/v1/refusals"
+}
--- a/gen/http/refusal/server/server.go
+++ b/gen/http/refusal/server/server.go
@@ -20,6 +20,7 @@
 type Server struct {
 	Mounts []*MountPoint
 	Show   http.Handler
+	List   http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -50,8 +51,10 @@
 	return &Server{
 		Mounts: []*MountPoint{
 			{"Show", "GET", "/v1/refusals/{id}"},
+			{"List", "GET", "/v1/refusals"},
 		},
 		Show: NewShowHandler(e.Show, mux, decoder, encoder, errhandler, formatter),
+		List: NewListHandler(e.List, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -61,6 +64,7 @@
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
 	s.Show = m(s.Show)
+	s.List = m(s.List)
 }
 
 // MethodNames returns the methods served.
@@ -69,6 +73,7 @@
 // Mount configures the mux to serve the refusal endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
 	MountShowHandler(mux, h.Show)
+	MountListHandler(mux, h.List)
 }
 
 // Mount configures the mux to serve the refusal endpoints.
@@ -101,7 +106,7 @@
 	var (
 		decodeRequest  = DecodeShowRequest(mux, decoder)
 		encodeResponse = EncodeShowResponse(encoder)
-		encodeError    = EncodeShowError(encoder, formatter)
+		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
 	)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
@@ -128,3 +133,56 @@
 		}
 	})
 }
+
+// MountListHandler configures the mux to serve the "refusal" service "list"
+// endpoint.
+func MountListHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/refusals", f)
+}
+
+// NewListHandler creates a HTTP handler which loads the HTTP request and calls
+// the "refusal" service "list" endpoint.
+func NewListHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeListRequest(mux, decoder)
+		encodeResponse = EncodeListResponse(encoder)
+		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "list")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "refusal")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
--- a/gen/http/refusal/server/types.go
+++ b/gen/http/refusal/server/types.go
@@ -9,7 +9,6 @@
 
 import (
 	refusal "github.com/mustardramp/mustardramp/gen/refusal"
-	goa "goa.design/goa/v3/pkg"
 )
 
 // ShowResponseBody is the type of the "refusal" service "show" endpoint HTTP
@@ -22,56 +21,38 @@
 	// not-run, may-have-run or ran
 	Sending string `form:"sending" json:"sending" xml:"sending"`
 	// service@revision:line
-	Rule         string              `form:"rule" json:"rule" xml:"rule"`
-	Reason       string              `form:"reason" json:"reason" xml:"reason"`
+	Rule string `form:"rule" json:"rule" xml:"rule"`
+	// The contract's text at the rule, in the revision that was in force
+	RuleText *string `form:"rule_text,omitempty" json:"rule_text,omitempty" xml:"rule_text,omitempty"`
+	// The contract's file as it was published
+	RuleFile *string `form:"rule_file,omitempty" json:"rule_file,omitempty" xml:"rule_file,omitempty"`
+	Reason   string  `form:"reason" json:"reason" xml:"reason"`
+	// What the caller may safely do now
+	Advice       string              `form:"advice" json:"advice" xml:"advice"`
 	Facts        []*FactResponseBody `form:"facts,omitempty" json:"facts,omitempty" xml:"facts,omitempty"`
 	RetryAfterMs *int64              `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
 	At           string              `form:"at" json:"at" xml:"at"`
 	Host         string              `form:"host" json:"host" xml:"host"`
-	Caller       *string             `form:"caller,omitempty" json:"caller,omitempty" xml:"caller,omitempty"`
-	Request      *string             `form:"request,omitempty" json:"request,omitempty" xml:"request,omitempty"`
-	Key          *string             `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
-	Method       string              `form:"method" json:"method" xml:"method"`
-	Path         string              `form:"path" json:"path" xml:"path"`
-	Rank         string              `form:"rank" json:"rank" xml:"rank"`
-	Backend      *string             `form:"backend,omitempty" json:"backend,omitempty" xml:"backend,omitempty"`
-	Attempts     *int                `form:"attempts,omitempty" json:"attempts,omitempty" xml:"attempts,omitempty"`
+	Caller       string              `form:"caller" json:"caller" xml:"caller"`
+	// The caller's own request id
+	Request *string `form:"request,omitempty" json:"request,omitempty" xml:"request,omitempty"`
+	// The operation's key
+	Key      *string `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	Method   string  `form:"method" json:"method" xml:"method"`
+	Path     string  `form:"path" json:"path" xml:"path"`
+	Rank     string  `form:"rank" json:"rank" xml:"rank"`
+	Backend  *string `form:"backend,omitempty" json:"backend,omitempty" xml:"backend,omitempty"`
+	Attempts int     `form:"attempts" json:"attempts" xml:"attempts"`
+	// The operation's ledger entry as it is now, when it can be read
+	Ledger *LedgerEntryResponseBody `form:"ledger,omitempty" json:"ledger,omitempty" xml:"ledger,omitempty"`
 }
 
-// ShowUnauthorizedResponseBody is the type of the "refusal" service "show"
-// endpoint HTTP response body for the "unauthorized" error.
-type ShowUnauthorizedResponseBody struct {
-	// Name is the name of this class of errors.
-	Name string `form:"name" json:"name" xml:"name"`
-	// ID is a unique identifier for this particular occurrence of the problem.
-	ID string `form:"id" json:"id" xml:"id"`
-	// Message is a human-readable explanation specific to this occurrence of the
-	// problem.
-	Message string `form:"message" json:"message" xml:"message"`
-	// Is the error temporary?
-	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
-	// Is the error a timeout?
-	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
-	// Is the error a server-side fault?
-	Fault bool `form:"fault" json:"fault" xml:"fault"`
-}
-
-// ShowNotFoundResponseBody is the type of the "refusal" service "show"
-// endpoint HTTP response body for the "not_found" error.
-type ShowNotFoundResponseBody struct {
-	// Name is the name of this class of errors.
-	Name string `form:"name" json:"name" xml:"name"`
-	// ID is a unique identifier for this particular occurrence of the problem.
-	ID string `form:"id" json:"id" xml:"id"`
-	// Message is a human-readable explanation specific to this occurrence of the
-	// problem.
-	Message string `form:"message" json:"message" xml:"message"`
-	// Is the error temporary?
-	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
-	// Is the error a timeout?
-	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
-	// Is the error a server-side fault?
-	Fault bool `form:"fault" json:"fault" xml:"fault"`
+// ListResponseBody is the type of the "refusal" service "list" endpoint HTTP
+// response body.
+type ListResponseBody struct {
+	Items []*RefusalResponseBody `form:"items" json:"items" xml:"items"`
+	// Cursor of the next page, or empty
+	Next string `form:"next" json:"next" xml:"next"`
 }
 
 // FactResponseBody is used to define fields on response body types.
@@ -80,6 +61,56 @@
 	Value string `form:"value" json:"value" xml:"value"`
 }
 
+// LedgerEntryResponseBody is used to define fields on response body types.
+type LedgerEntryResponseBody struct {
+	Service string `form:"service" json:"service" xml:"service"`
+	Caller  string `form:"caller" json:"caller" xml:"caller"`
+	Key     string `form:"key" json:"key" xml:"key"`
+	// claimed, ran, not-run or unknown
+	State string `form:"state" json:"state" xml:"state"`
+	// The host that holds or held the claim
+	Host    *string `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
+	Attempt *uint64 `form:"attempt,omitempty" json:"attempt,omitempty" xml:"attempt,omitempty"`
+	// The answer's HTTP status, when it ran
+	Status *int    `form:"status,omitempty" json:"status,omitempty" xml:"status,omitempty"`
+	At     *string `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
+}
+
+// RefusalResponseBody is used to define fields on response body types.
+type RefusalResponseBody struct {
+	ID   string `form:"id" json:"id" xml:"id"`
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// not-run, may-have-run or ran
+	Operation string `form:"operation" json:"operation" xml:"operation"`
+	// not-run, may-have-run or ran
+	Sending string `form:"sending" json:"sending" xml:"sending"`
+	// service@revision:line
+	Rule string `form:"rule" json:"rule" xml:"rule"`
+	// The contract's text at the rule, in the revision that was in force
+	RuleText *string `form:"rule_text,omitempty" json:"rule_text,omitempty" xml:"rule_text,omitempty"`
+	// The contract's file as it was published
+	RuleFile *string `form:"rule_file,omitempty" json:"rule_file,omitempty" xml:"rule_file,omitempty"`
+	Reason   string  `form:"reason" json:"reason" xml:"reason"`
+	// What the caller may safely do now
+	Advice       string              `form:"advice" json:"advice" xml:"advice"`
+	Facts        []*FactResponseBody `form:"facts,omitempty" json:"facts,omitempty" xml:"facts,omitempty"`
+	RetryAfterMs *int64              `form:"retry_after_ms,omitempty" json:"retry_after_ms,omitempty" xml:"retry_after_ms,omitempty"`
+	At           string              `form:"at" json:"at" xml:"at"`
+	Host         string              `form:"host" json:"host" xml:"host"`
+	Caller       string              `form:"caller" json:"caller" xml:"caller"`
+	// The caller's own request id
+	Request *string `form:"request,omitempty" json:"request,omitempty" xml:"request,omitempty"`
+	// The operation's key
+	Key      *string `form:"key,omitempty" json:"key,omitempty" xml:"key,omitempty"`
+	Method   string  `form:"method" json:"method" xml:"method"`
+	Path     string  `form:"path" json:"path" xml:"path"`
+	Rank     string  `form:"rank" json:"rank" xml:"rank"`
+	Backend  *string `form:"backend,omitempty" json:"backend,omitempty" xml:"backend,omitempty"`
+	Attempts int     `form:"attempts" json:"attempts" xml:"attempts"`
+	// The operation's ledger entry as it is now, when it can be read
+	Ledger *LedgerEntryResponseBody `form:"ledger,omitempty" json:"ledger,omitempty" xml:"ledger,omitempty"`
+}
+
 // NewShowResponseBody builds the HTTP response body from the result of the
 // "show" endpoint of the "refusal" service.
 func NewShowResponseBody(res *refusal.Refusal) *ShowResponseBody {
@@ -89,7 +120,10 @@
 		Operation:    res.Operation,
 		Sending:      res.Sending,
 		Rule:         res.Rule,
+		RuleText:     res.RuleText,
+		RuleFile:     res.RuleFile,
 		Reason:       res.Reason,
+		Advice:       res.Advice,
 		RetryAfterMs: res.RetryAfterMs,
 		At:           res.At,
 		Host:         res.Host,
@@ -112,33 +146,29 @@
 			body.Facts[i] = marshalRefusalFactToFactResponseBody(val)
 		}
 	}
-	return body
-}
-
-// NewShowUnauthorizedResponseBody builds the HTTP response body from the
-// result of the "show" endpoint of the "refusal" service.
-func NewShowUnauthorizedResponseBody(res *goa.ServiceError) *ShowUnauthorizedResponseBody {
-	body := &ShowUnauthorizedResponseBody{
-		Name:      res.Name,
-		ID:        res.ID,
-		Message:   res.Message,
-		Temporary: res.Temporary,
-		Timeout:   res.Timeout,
-		Fault:     res.Fault,
+	if res.Ledger != nil {
+		body.Ledger = marshalRefusalLedgerEntryToLedgerEntryResponseBody(res.Ledger)
 	}
 	return body
 }
 
-// NewShowNotFoundResponseBody builds the HTTP response body from the result of
-// the "show" endpoint of the "refusal" service.
-func NewShowNotFoundResponseBody(res *goa.ServiceError) *ShowNotFoundResponseBody {
-	body := &ShowNotFoundResponseBody{
-		Name:      res.Name,
-		ID:        res.ID,
-		Message:   res.Message,
-		Temporary: res.Temporary,
-		Timeout:   res.Timeout,
-		Fault:     res.Fault,
+// NewListResponseBody builds the HTTP response body from the result of the
+// "list" endpoint of the "refusal" service.
+func NewListResponseBody(res *refusal.ListResult) *ListResponseBody {
+	body := &ListResponseBody{
+		Next: res.Next,
+	}
+	if res.Items != nil {
+		body.Items = make([]*RefusalResponseBody, len(res.Items))
+		for i, val := range res.Items {
+			if val == nil {
+				body.Items[i] = nil
+				continue
+			}
+			body.Items[i] = marshalRefusalRefusalToRefusalResponseBody(val)
+		}
+	} else {
+		body.Items = []*RefusalResponseBody{}
 	}
 	return body
 }
@@ -151,3 +181,16 @@
 
 	return v
 }
+
+// NewListPayload builds a refusal service list endpoint payload.
+func NewListPayload(after *string, limit int, caller *string, service *string, since *string, token *string) *refusal.ListPayload {
+	v := &refusal.ListPayload{}
+	v.After = after
+	v.Limit = limit
+	v.Caller = caller
+	v.Service = service
+	v.Since = since
+	v.Token = token
+
+	return v
+}
--- a/gen/refusal/client.go
+++ b/gen/refusal/client.go
@@ -16,19 +16,23 @@
 // Client is the "refusal" service client.
 type Client struct {
 	ShowEndpoint goa.Endpoint
+	ListEndpoint goa.Endpoint
 }
 
 // NewClient initializes a "refusal" service client given the endpoints.
-func NewClient(show goa.Endpoint) *Client {
+func NewClient(show, list goa.Endpoint) *Client {
 	return &Client{
 		ShowEndpoint: show,
+		ListEndpoint: list,
 	}
 }
 
 // Show calls the "show" endpoint of the "refusal" service.
 // Show may return the following errors:
-//   - "unauthorized" (type *goa.ServiceError)
-//   - "not_found" (type *goa.ServiceError)
+//   - "unauthorized" (type *goa.ServiceError): The token is missing or wrong
+//   - "not_found" (type *goa.ServiceError): Nothing has that name
+//   - "invalid" (type *goa.ServiceError): The request cannot be understood
+//   - "unavailable" (type *goa.ServiceError): This host cannot answer now; another may
 //   - error: internal error
 func (c *Client) Show(ctx context.Context, p *ShowPayload) (res *Refusal, err error) {
 	var ires any
@@ -38,3 +42,19 @@
 	}
 	return ires.(*Refusal), nil
 }
+
+// List calls the "list" endpoint of the "refusal" service.
+// List may return the following errors:
+//   - "unauthorized" (type *goa.ServiceError): The token is missing or wrong
+//   - "not_found" (type *goa.ServiceError): Nothing has that name
+//   - "invalid" (type *goa.ServiceError): The request cannot be understood
+//   - "unavailable" (type *goa.ServiceError): This host cannot answer now; another may
+//   - error: internal error
+func (c *Client) List(ctx context.Context, p *ListPayload) (res *ListResult, err error) {
+	var ires any
+	ires, err = c.ListEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*ListResult), nil
+}
--- a/gen/refusal/endpoints.go
+++ b/gen/refusal/endpoints.go
@@ -11,30 +11,73 @@
 	"context"
 
 	goa "goa.design/goa/v3/pkg"
+	"goa.design/goa/v3/security"
 )
 
 // Endpoints wraps the "refusal" service endpoints.
 type Endpoints struct {
 	Show goa.Endpoint
+	List goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "refusal" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
+	// Casting service to Auther interface
+	a := s.(Auther)
 	return &Endpoints{
-		Show: NewShowEndpoint(s),
+		Show: NewShowEndpoint(s, a.APIKeyAuth),
+		List: NewListEndpoint(s, a.APIKeyAuth),
 	}
 }
 
 // Use applies the given middleware to all the "refusal" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
 	e.Show = m(e.Show)
+	e.List = m(e.List)
 }
 
 // NewShowEndpoint returns an endpoint function that calls the method "show" of
 // service "refusal".
-func NewShowEndpoint(s Service) goa.Endpoint {
+func NewShowEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
 	return func(ctx context.Context, req any) (any, error) {
 		p := req.(*ShowPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "admin_token",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
+		if err != nil {
+			return nil, err
+		}
 		return s.Show(ctx, p)
 	}
 }
+
+// NewListEndpoint returns an endpoint function that calls the method "list" of
+// service "refusal".
+func NewListEndpoint(s Service, authAPIKeyFn security.AuthAPIKeyFunc) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ListPayload)
+		var err error
+		sc := security.APIKeyScheme{
+			Name:           "admin_token",
+			Scopes:         []string{},
+			RequiredScopes: []string{},
+		}
+		var key string
+		if p.Token != nil {
+			key = *p.Token
+		}
+		ctx, err = authAPIKeyFn(ctx, key, &sc)
+		if err != nil {
+			return nil, err
+		}
+		return s.List(ctx, p)
+	}
+}
--- a/gen/refusal/service.go
+++ b/gen/refusal/service.go
@@ -11,12 +11,22 @@
 	"context"
 
 	goa "goa.design/goa/v3/pkg"
+	"goa.design/goa/v3/security"
 )
 
 // Refusals that a host remembers.
 type Service interface {
-	// Shows one refusal by its id or by the caller's own request id.
+	// Shows one refusal by its id or by the caller's own request id. Any host may
+	// be asked: it asks the host that refused.
 	Show(context.Context, *ShowPayload) (res *Refusal, err error)
+	// Lists this host's refusals, newest first.
+	List(context.Context, *ListPayload) (res *ListResult, err error)
+}
+
+// Auther defines the authorization functions to be implemented by the service.
+type Auther interface {
+	// APIKeyAuth implements the authorization logic for the APIKey security scheme.
+	APIKeyAuth(ctx context.Context, key string, schema *security.APIKeyScheme) (context.Context, error)
 }
 
 // APIName is the name of the API as defined in the design.
@@ -33,13 +43,47 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [1]string{"show"}
+var MethodNames = [2]string{"show", "list"}
 
 type Fact struct {
 	Name  string
 	Value string
 }
 
+type LedgerEntry struct {
+	Service string
+	Caller  string
+	Key     string
+	// claimed, ran, not-run or unknown
+	State string
+	// The host that holds or held the claim
+	Host    *string
+	Attempt *uint64
+	// The answer's HTTP status, when it ran
+	Status *int
+	At     *string
+}
+
+// ListPayload is the payload type of the refusal service list method.
+type ListPayload struct {
+	// Administration token
+	Token *string
+	// Cursor: the next field of the page before
+	After *string
+	// Most items on a page
+	Limit   int
+	Caller  *string
+	Service *string
+	Since   *string
+}
+
+// ListResult is the result type of the refusal service list method.
+type ListResult struct {
+	Items []*Refusal
+	// Cursor of the next page, or empty
+	Next string
+}
+
 // Refusal is the result type of the refusal service show method.
 type Refusal struct {
 	ID   string
@@ -49,20 +93,30 @@
 	// not-run, may-have-run or ran
 	Sending string
 	// service@revision:line
-	Rule         string
-	Reason       string
+	Rule string
+	// The contract's text at the rule, in the revision that was in force
+	RuleText *string
+	// The contract's file as it was published
+	RuleFile *string
+	Reason   string
+	// What the caller may safely do now
+	Advice       string
 	Facts        []*Fact
 	RetryAfterMs *int64
 	At           string
 	Host         string
-	Caller       *string
-	Request      *string
-	Key          *string
-	Method       string
-	Path         string
-	Rank         string
-	Backend      *string
-	Attempts     *int
+	Caller       string
+	// The caller's own request id
+	Request *string
+	// The operation's key
+	Key      *string
+	Method   string
+	Path     string
+	Rank     string
+	Backend  *string
+	Attempts int
+	// The operation's ledger entry as it is now, when it can be read
+	Ledger *LedgerEntry
 }
 
 // ShowPayload is the payload type of the refusal service show method.
@@ -82,3 +136,13 @@
 func MakeNotFound(err error) *goa.ServiceError {
 	return goa.NewServiceError(err, "not_found", false, false, false)
 }
+
+// MakeInvalid builds a goa.ServiceError from an error.
+func MakeInvalid(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "invalid", false, false, false)
+}
+
+// MakeUnavailable builds a goa.ServiceError from an error.
+func MakeUnavailable(err error) *goa.ServiceError {
+	return goa.NewServiceError(err, "unavailable", false, false, false)
+}
--- /dev/null
+++ b/internal/registry/read.go
@@ -0,0 +1,72 @@
+package registry
+
+import (
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+// InForce lists the entries in force by service name.
+func (s *State) InForce() []Entry {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	names := s.services()
+	entries := make([]Entry, len(names))
+	for i, name := range names {
+		entries[i] = s.newest(name)
+	}
+	return entries
+}
+
+// Entry returns a revision of a service; revision 0 means the one in force.
+func (s *State) Entry(service mustardramp.ServiceName, revision mustardramp.Revision) (Entry, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if revision == 0 {
+		e := s.newest(service)
+		return e, e.Revision > 0
+	}
+	for _, e := range s.history[service] {
+		if e.Revision == revision {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Changes lists the change log, newest first, from an index downwards; before
+// 0 means from the newest.
+func (s *State) Changes(before mustardramp.Index, service mustardramp.ServiceName, limit int) []Change {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []Change
+	for i := len(s.changes) - 1; i >= 0 && len(out) < limit; i-- {
+		c := s.changes[i]
+		if before > 0 && c.Index >= before {
+			continue
+		}
+		if service == "" || c.touches(service) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (c Change) touches(service mustardramp.ServiceName) bool {
+	for _, s := range c.Services {
+		if s.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Check reports every fault in files, also against the contracts in force.
+func (s *State) Check(files []File) contract.Faults {
+	names, contracts, faults := parse(files)
+	if len(faults) > 0 {
+		return faults
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.checkSet(names, contracts)
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,206 @@
+package registry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/registry"
+)
+
+func source(service string, floor int) []byte {
+	return fmt.Appendf(nil, "service: %s\nfloor: %d\nroutes:\n- {path: /a, methods: [GET]}\n", service, floor)
+}
+
+func file(service string, floor int, base mustardramp.Revision) registry.File {
+	return registry.File{Name: service + ".yaml", Source: source(service, floor), Base: base}
+}
+
+type bench struct {
+	t     *testing.T
+	state registry.State
+	index mustardramp.Index
+}
+
+func (b *bench) publish(id string, files ...registry.File) registry.Result {
+	b.t.Helper()
+	command, err := registry.Command{Change: mustardramp.ChangeID(id), Who: "w", Why: "y", Files: files}.Encode()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.index++
+	result, err := registry.DecodeResult(b.state.Apply(b.index, command))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return result
+}
+
+func (b *bench) mustPublish(id string, files ...registry.File) *registry.Change {
+	b.t.Helper()
+	result := b.publish(id, files...)
+	if result.Change == nil {
+		b.t.Fatalf("got %+v, want an accepted change", result)
+	}
+	return result.Change
+}
+
+func TestRacingOperatorsWithEqualRevisions(t *testing.T) {
+	b := &bench{t: t}
+	b.mustPublish("one", file("a", 50, 0))
+	b.mustPublish("first", file("a", 60, 1))
+	result := b.publish("second", file("a", 70, 1))
+	if result.Conflict == nil {
+		t.Fatalf("got %+v, want a conflict", result)
+	}
+	if got, want := result.Conflict.Revision, mustardramp.Revision(2); got != want {
+		t.Errorf("got revision %d, want %d", got, want)
+	}
+	for _, want := range []string{"-floor: 60", "+floor: 70"} {
+		if got := result.Conflict.Difference; !strings.Contains(got, want) {
+			t.Errorf("got difference %q, want it to hold %q", got, want)
+		}
+	}
+	if e, _ := b.state.Entry("a", 0); string(e.Source) != string(source("a", 60)) {
+		t.Errorf("got %q in force, want the first operator's text", e.Source)
+	}
+}
+
+func TestResentChangeReturnsTheFirstResult(t *testing.T) {
+	b := &bench{t: t}
+	first := b.mustPublish("one", file("a", 50, 0))
+	b.mustPublish("two", file("a", 60, 1))
+	snapshot, err := b.state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := &bench{t: t, index: b.index}
+	if err := restored.state.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	for name, bench := range map[string]*bench{"live": b, "restored": restored} {
+		t.Run(name, func(t *testing.T) {
+			again := bench.mustPublish("one", file("a", 50, 0))
+			if got, want := again.Index, first.Index; got != want {
+				t.Errorf("got index %d, want %d", got, want)
+			}
+			if e, _ := bench.state.Entry("a", 0); e.Revision != 2 {
+				t.Errorf("got revision %d, want 2", e.Revision)
+			}
+			if got := bench.publish("one", file("a", 99, 2)); got.Reused == nil {
+				t.Errorf("got %+v, want the id reported as used", got)
+			}
+		})
+	}
+}
+
+func TestSeveralFilesGoInAsOneOrNotAtAll(t *testing.T) {
+	tests := map[string]registry.File{
+		"conflict": file("b", 50, 7),
+		"fault":    file("b", 500, 0),
+		"twice":    file("a", 55, 0),
+	}
+	for name, second := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := &bench{t: t}
+			if got := b.publish("one", file("a", 50, 0), second); got.Change != nil {
+				t.Fatalf("got %+v, want a refusal", got)
+			}
+			if got := len(b.state.InForce()); got != 0 {
+				t.Errorf("got %d contracts in force, want 0", got)
+			}
+		})
+	}
+}
+
+func TestHostOfAnotherServiceIsRefused(t *testing.T) {
+	b := &bench{t: t}
+	b.mustPublish("one", file("a", 50, 0))
+	thief := registry.File{Name: "b.yaml", Source: []byte("service: b\nhosts: [a]\nroutes:\n- {path: /a, methods: [GET]}\n")}
+	if got := b.publish("two", thief); len(got.Faults) == 0 {
+		t.Errorf("got %+v, want faults", got)
+	}
+}
+
+// TestViewConverges delivers all entries in random orders, repeated and with
+// old ones last, and checks that no service ever goes back.
+func TestViewConverges(t *testing.T) {
+	b := &bench{t: t}
+	var records []mustardramp.Record
+	b.state.Watch(func(entries []registry.Entry) {
+		for _, e := range entries {
+			record, err := e.Record()
+			if err != nil {
+				t.Error(err)
+			}
+			records = append(records, record)
+		}
+	})
+	for i := range 30 {
+		base := mustardramp.Revision(i)
+		if i%3 == 0 {
+			b.mustPublish(fmt.Sprint(i), file("a", i, base), file("b", i, base))
+			continue
+		}
+		b.mustPublish(fmt.Sprint(i), file("a", i, base))
+		b.mustPublish(fmt.Sprint(i, "b"), file("b", i, base))
+	}
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var view registry.View
+		last := map[mustardramp.ServiceName]mustardramp.Revision{}
+		for _, i := range append(random.Perm(len(records)), random.Perm(len(records))...) {
+			set, err := view.Merge(records[i])
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, k := range set.Contracts() {
+				if k.Revision < last[k.Service] {
+					t.Fatalf("seed %d: service %s went back from %d to %d", seed, k.Service, last[k.Service], k.Revision)
+				}
+				last[k.Service] = k.Revision
+			}
+		}
+		for service, got := range last {
+			if want := mustardramp.Revision(30); got != want {
+				t.Errorf("seed %d: got revision %d of %s, want %d", seed, got, service, want)
+			}
+		}
+	}
+}
+
+func TestChangeOfSeveralServicesTakesForceAsOne(t *testing.T) {
+	b := &bench{t: t}
+	var records []mustardramp.Record
+	b.state.Watch(func(entries []registry.Entry) {
+		for _, e := range entries {
+			record, _ := e.Record()
+			records = append(records, record)
+		}
+	})
+	b.mustPublish("one", file("a", 50, 0), file("b", 50, 0))
+	var view registry.View
+	if set, err := view.Merge(records[0]); set != nil || err != nil {
+		t.Fatalf("got %v, %v after half a change, want nothing in force", set, err)
+	}
+	set, err := view.Merge(records[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(set.Contracts()), 2; got != want {
+		t.Errorf("got %d contracts, want %d", got, want)
+	}
+}
+
+func FuzzApply(f *testing.F) {
+	command, _ := registry.Command{Change: "c", Files: []registry.File{file("a", 50, 0)}}.Encode()
+	f.Add(command)
+	f.Fuzz(func(t *testing.T, command []byte) {
+		var s registry.State
+		if _, err := registry.DecodeResult(s.Apply(1, command)); err != nil {
+			t.Errorf("got %v, want a result", err)
+		}
+	})
+}
--- a/pkg/contract/fault.go
+++ b/pkg/contract/fault.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"errors"
 	"fmt"
 	"sort"
 	"strings"
@@ -47,3 +48,12 @@
 	})
 	return f
 }
+
+// FaultsOf returns the faults of an error that Parse returned.
+func FaultsOf(file string, err error) Faults {
+	var faults Faults
+	if errors.As(err, &faults) {
+		return faults
+	}
+	return Faults{{File: file, Line: 1, Column: 1, Reason: err.Error(), Remedy: "mend the file"}}
+}
