Add the command line's remote commands

Cause: staff need one command that answers why a call was refused. Conclusion: builds; not yet run against a host.

--- /dev/null
+++ b/pkg/cmd/backend/list/list.go
@@ -0,0 +1,64 @@
+// Package list is the command backend list.
+package list
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/mustardramp/mustardramp/gen/fleet"
+	"github.com/mustardramp/mustardramp/pkg/cmd/factory"
+)
+
+// Options are the flags of backend list.
+type Options struct {
+	factory.Remote
+	Service string `arg:"" optional:"" help:"Only backends of this service."`
+
+	factory *factory.Factory
+}
+
+// New returns the command.
+func New(f *factory.Factory) Options {
+	return Options{factory: f}
+}
+
+// Help gives examples.
+func (Options) Help() string {
+	return `Examples:
+
+  mustardramp backend list
+  mustardramp backend list mohor --admin 127.0.0.1:7003`
+}
+
+// Run lists backends with their standing at the asked host.
+func (o *Options) Run(ctx context.Context) error {
+	client, err := o.Client(o.factory)
+	if err != nil {
+		return err
+	}
+	items, err := factory.Pages(func(after string) ([]*fleet.BackendStanding, string, error) {
+		payload := &fleet.BackendsPayload{Token: o.Auth(), After: &after, Limit: factory.PageSize}
+		if o.Service != "" {
+			payload.Service = &o.Service
+		}
+		page, err := client.Fleet.Backends(ctx, payload)
+		if err != nil {
+			return nil, "", err
+		}
+		return page.Items, page.Next, nil
+	})
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return o.factory.Streams.JSON(items)
+	}
+	rows := make([][]string, len(items))
+	for i, b := range items {
+		rows[i] = []string{
+			b.ID, b.Zone, strconv.Itoa(b.Slots), b.State, b.Standing,
+			strconv.FormatFloat(b.Weight, 'f', 2, 64), b.Cause,
+		}
+	}
+	return o.factory.Streams.Table([]string{"backend", "zone", "slots", "state", "standing", "weight", "cause"}, rows)
+}
--- /dev/null
+++ b/pkg/cmd/factory/print.go
@@ -0,0 +1,42 @@
+package factory
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+)
+
+// columnGap is the number of spaces between columns.
+const columnGap = 2
+
+// Table prints rows: aligned under a heading on a terminal, separated by tabs
+// and without the heading otherwise.
+func (s Streams) Table(heading []string, rows [][]string) error {
+	if !s.Terminal {
+		for _, row := range rows {
+			if _, err := fmt.Fprintln(s.Out, strings.Join(row, "\t")); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(s.Out, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(w, strings.ToUpper(strings.Join(heading, "\t")))
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	return w.Flush()
+}
+
+// JSON prints a value as indented JSON.
+func (s Streams) JSON(value any) error {
+	encoder := json.NewEncoder(s.Out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// Print writes formatted text.
+func (s Streams) Print(format string, args ...any) {
+	fmt.Fprintf(s.Out, format, args...)
+}
