--- /dev/null
+++ b/internal/admin/refusal.go
@@ -0,0 +1,156 @@
+package admin
+
+import (
+	"context"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	api "github.com/mustardramp/mustardramp/gen/refusal"
+	"github.com/mustardramp/mustardramp/internal/refusal"
+)
+
+// refusals serves the refusal service of the API.
+type refusals struct{ *server }
+
+// Show shows one refusal by its id or by the caller's own request id.
+func (s refusals) Show(ctx context.Context, p *api.ShowPayload) (*api.Refusal, error) {
+	id := mustardramp.RefusalID(p.ID)
+	if host, ok := refusal.HostOf(id); ok && host != s.Host {
+		if address, known := s.hostAddress(host); known {
+			return s.ask(ctx, host, address, p)
+		}
+	}
+	if s.Refusals == nil {
+		return nil, named(errUnavailable, "this host refuses no calls: ask an entry host")
+	}
+	if r, ok := s.Refusals.ByID(id); ok {
+		return s.explain(ctx, r), nil
+	}
+	if found := s.Refusals.ByRequest(p.ID); len(found) > 0 {
+		return s.explain(ctx, found[0]), nil
+	}
+	return nil, named(errNotFound, "host %s remembers no refusal %q", s.Host, p.ID)
+}
+
+func (s refusals) hostAddress(host mustardramp.HostName) (string, bool) {
+	if s.Fleet == nil {
+		return "", false
+	}
+	return s.Fleet.Admin(host)
+}
+
+// ask passes the question on to the host that refused.
+func (s refusals) ask(ctx context.Context, host mustardramp.HostName, address string, p *api.ShowPayload) (*api.Refusal, error) {
+	if s.Dial == nil {
+		return nil, named(errUnavailable, "host %s refused the call: ask its administration API at %s", host, address)
+	}
+	client, err := s.Dial(address)
+	if err != nil {
+		return nil, named(errUnavailable, "host %s at %s: %v", host, address, err)
+	}
+	token := s.Token
+	r, err := client.Refusal.Show(ctx, &api.ShowPayload{Token: &token, ID: p.ID})
+	if err != nil {
+		return nil, named(errUnavailable, "host %s at %s refused the call and cannot be asked: %v", host, address, err)
+	}
+	return r, nil
+}
+
+// List lists this host's refusals, newest first.
+func (s refusals) List(_ context.Context, p *api.ListPayload) (*api.ListResult, error) {
+	if s.Refusals == nil {
+		return nil, named(errUnavailable, "this host refuses no calls: ask an entry host")
+	}
+	var since time.Time
+	if p.Since != nil {
+		parsed, err := time.Parse(time.RFC3339, *p.Since)
+		if err != nil {
+			return nil, named(errInvalid, "since is not a time of RFC 3339")
+		}
+		since = parsed
+	}
+	found := s.Refusals.ByCaller(mustardramp.CallerName(text(p.Caller)), since, s.Clock.Now())
+	result := &api.ListResult{}
+	skip := p.After != nil && *p.After != ""
+	for _, r := range found {
+		if skip {
+			skip = string(r.ID) != *p.After
+			continue
+		}
+		if p.Service != nil && string(r.Rule.Service) != *p.Service {
+			continue
+		}
+		if len(result.Items) == p.Limit {
+			result.Next = result.Items[len(result.Items)-1].ID
+			break
+		}
+		result.Items = append(result.Items, refusalOf(r))
+	}
+	return result, nil
+}
+
+// explain adds the rule's text and the ledger's entry to a refusal.
+func (s refusals) explain(ctx context.Context, r mustardramp.Refusal) *api.Refusal {
+	out := refusalOf(r)
+	s.addRule(ctx, out, r.Rule)
+	s.addEntry(ctx, out, r)
+	return out
+}
+
+func (s refusals) addRule(ctx context.Context, out *api.Refusal, rule mustardramp.Rule) {
+	if s.Contracts == nil || rule.Service == "" {
+		return
+	}
+	e, ok, err := s.Contracts.Entry(ctx, rule.Service, rule.Revision)
+	if err != nil || !ok {
+		return
+	}
+	out.RuleFile = optional(e.File)
+	out.RuleText = optional(lineOf(e.Source, rule.Line))
+}
+
+func (s refusals) addEntry(ctx context.Context, out *api.Refusal, r mustardramp.Refusal) {
+	if s.Ledger == nil || r.Key == "" {
+		return
+	}
+	id := mustardramp.ClaimID{Service: r.Rule.Service, Caller: r.Caller, Key: r.Key}
+	if e, ok, err := s.Ledger.Show(ctx, id); err == nil && ok {
+		out.Ledger = &api.LedgerEntry{
+			Service: string(e.ID.Service),
+			Caller:  string(e.ID.Caller),
+			Key:     string(e.ID.Key),
+			State:   e.State,
+			Host:    optional(string(e.Host)),
+		}
+	}
+}
+
+func refusalOf(r mustardramp.Refusal) *api.Refusal {
+	out := &api.Refusal{
+		ID:        string(r.ID),
+		Kind:      r.Kind.String(),
+		Operation: r.Verdict.Operation.String(),
+		Sending:   r.Verdict.Sending.String(),
+		Rule:      r.Rule.String(),
+		Reason:    r.Reason,
+		Advice:    Advice(r),
+		At:        r.At.UTC().Format(time.RFC3339Nano),
+		Host:      string(r.Host),
+		Caller:    string(r.Caller),
+		Request:   optional(r.Request),
+		Key:       optional(string(r.Key)),
+		Method:    r.Method,
+		Path:      r.Path,
+		Rank:      r.Rank.String(),
+		Backend:   optional(string(r.Backend)),
+		Attempts:  r.Attempts,
+	}
+	if r.RetryAfter > 0 {
+		ms := r.RetryAfter.Milliseconds()
+		out.RetryAfterMs = &ms
+	}
+	for _, f := range r.Facts {
+		out.Facts = append(out.Facts, &api.Fact{Name: f.Name, Value: f.Value})
+	}
+	return out
+}
--- a/refusal.go
+++ b/refusal.go
@@ -68,4 +68,6 @@
 	// Backend is the last backend that was tried, or empty.
 	Backend  BackendID `json:"backend,omitempty" cbor:"16,keyasint,omitempty"`
 	Attempts int       `json:"attempts" cbor:"17,keyasint"`
+	// Idempotent is true when the contract allows to send the request again.
+	Idempotent bool `json:"idempotent,omitempty" cbor:"18,keyasint,omitempty"`
 }
