Add the queue by rank

Cause: urgent work goes first, but no rank may starve, and one caller's flood must not fill the queue of the others. Change: internal/queue holds waiting requests by rank and caller; shares are kept in slot time; a full rank evicts the newest request of its greediest caller.

--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,265 @@
+// Package queue holds requests that wait for a slot. The most valuable rank
+// goes first, each rank keeps a guaranteed share of the slot time in a flood of
+// the others, and callers inside a rank take turns. The package is pure: it
+// reads no clock and starts nothing.
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// Terms are the settings of one rank.
+type Terms struct {
+	// Share is the share of the slot time that the rank gets in any flood of
+	// the others. The shares of all ranks sum to at most 100.
+	Share mustardramp.Percent
+	// Capacity is the most requests that wait; 0 means DefaultCapacity.
+	Capacity int
+}
+
+// DefaultCapacity is the number of requests of one rank that may wait.
+const DefaultCapacity = 256
+
+// leastCost stands in for a cost that is not known yet.
+const leastCost = time.Millisecond
+
+// Costs are the slot times that a request of each rank uses.
+type Costs [mustardramp.RankCount]time.Duration
+
+// burst is the number of requests whose share a rank saves up while it has
+// none that wait.
+const burst = 4
+
+// Item is one waiting request.
+type Item[T any] struct {
+	Value  T
+	Rank   mustardramp.Rank
+	Caller mustardramp.CallerName
+	// Added is when the request came.
+	Added time.Time
+	// Expiry is the last time at which a start is of use.
+	Expiry time.Time
+
+	line *line[T]
+}
+
+// line holds the requests of one caller, oldest first.
+type line[T any] struct {
+	caller mustardramp.CallerName
+	items  []*Item[T]
+}
+
+// lane holds the requests of one rank.
+type lane[T any] struct {
+	terms Terms
+	lines map[mustardramp.CallerName]*line[T]
+	// turns lists the lines that are not empty, the next to serve first.
+	turns []*line[T]
+	len   int
+	// credit is the slot time that the rank is owed.
+	credit time.Duration
+}
+
+// Queue holds the waiting requests of one service. Its zero value works, with
+// no guaranteed shares. It is not safe for concurrent use.
+type Queue[T any] struct {
+	lanes [mustardramp.RankCount]lane[T]
+	// Drop is called for each item that Next finds expired.
+	Drop func(*Item[T])
+}
+
+// Configure replaces the settings. Waiting requests stay.
+func (q *Queue[T]) Configure(terms [mustardramp.RankCount]Terms) {
+	for r := range q.lanes {
+		q.lanes[r].terms = terms[r]
+	}
+}
+
+// Push adds an item. When its rank is full, the caller with the most waiting
+// requests gives up its newest, which may be the item itself; the one that does
+// not wait any more is returned.
+func (q *Queue[T]) Push(item *Item[T]) (evicted *Item[T]) {
+	l := &q.lanes[item.Rank]
+	l.push(item)
+	if l.len <= l.capacity() {
+		return nil
+	}
+	longest := l.longest(item.line)
+	evicted = longest.items[len(longest.items)-1]
+	l.remove(evicted)
+	return evicted
+}
+
+// Remove takes an item out, and reports whether it was still waiting.
+func (q *Queue[T]) Remove(item *Item[T]) bool {
+	if item.line == nil {
+		return false
+	}
+	q.lanes[item.Rank].remove(item)
+	return true
+}
+
+// Len returns the number of waiting requests of a rank.
+func (q *Queue[T]) Len(rank mustardramp.Rank) int {
+	return q.lanes[rank].len
+}
+
+// Waiting returns the number of waiting requests of a caller in a rank.
+func (q *Queue[T]) Waiting(rank mustardramp.Rank, caller mustardramp.CallerName) int {
+	if ln := q.lanes[rank].lines[caller]; ln != nil {
+		return len(ln.items)
+	}
+	return 0
+}
+
+// Callers returns the number of callers that wait in a rank.
+func (q *Queue[T]) Callers(rank mustardramp.Rank) int {
+	return len(q.lanes[rank].turns)
+}
+
+// Total returns the number of waiting requests.
+func (q *Queue[T]) Total() int {
+	sum := 0
+	for r := range q.lanes {
+		sum += q.lanes[r].len
+	}
+	return sum
+}
+
+// Next takes out the item to serve next, or returns nil. It offers items to
+// place in order until place takes one.
+func (q *Queue[T]) Next(now time.Time, costs Costs, place func(*Item[T]) bool) *Item[T] {
+	order, n := q.order()
+	for _, rank := range order[:n] {
+		l := &q.lanes[rank]
+		item := l.take(now, place, q.Drop)
+		if item != nil {
+			q.charge(rank, costs)
+			return item
+		}
+	}
+	return nil
+}
+
+// order lists the ranks that have waiting requests: first those that are owed
+// slot time, then the others by value.
+func (q *Queue[T]) order() (order [mustardramp.RankCount]mustardramp.Rank, n int) {
+	for _, r := range mustardramp.Ranks() {
+		if q.lanes[r].len > 0 && q.lanes[r].owed() {
+			order[n] = r
+			n++
+		}
+	}
+	for _, r := range mustardramp.Ranks() {
+		if q.lanes[r].len > 0 && !q.lanes[r].owed() {
+			order[n] = r
+			n++
+		}
+	}
+	return order, n
+}
+
+// charge books the slot time of one served request: each rank earns its share,
+// and the served rank pays if it was owed any. A rank that is not owed any
+// pays nothing: what it got was free, and it must not start a flood in debt.
+func (q *Queue[T]) charge(served mustardramp.Rank, costs Costs) {
+	price := max(costs[served], leastCost)
+	if l := &q.lanes[served]; l.owed() {
+		l.credit -= price
+	}
+	for r := range q.lanes {
+		l := &q.lanes[r]
+		earned := time.Duration(l.terms.Share.Of(float64(price)))
+		l.credit = min(l.credit+earned, burst*max(costs[r], leastCost))
+	}
+}
+
+// owed reports whether the rank has not used up what its share brought it. A
+// rank is at most one request short of its share.
+func (l *lane[T]) owed() bool {
+	return l.credit > 0
+}
+
+func (l *lane[T]) capacity() int {
+	if l.terms.Capacity > 0 {
+		return l.terms.Capacity
+	}
+	return DefaultCapacity
+}
+
+func (l *lane[T]) push(item *Item[T]) {
+	ln := l.lines[item.Caller]
+	if ln == nil {
+		ln = &line[T]{caller: item.Caller}
+		if l.lines == nil {
+			l.lines = map[mustardramp.CallerName]*line[T]{}
+		}
+		l.lines[item.Caller] = ln
+		l.turns = append(l.turns, ln)
+	}
+	item.line = ln
+	ln.items = append(ln.items, item)
+	l.len++
+}
+
+// longest returns the line with the most items; a tie goes against the
+// newcomer's line.
+func (l *lane[T]) longest(newcomer *line[T]) *line[T] {
+	longest := newcomer
+	for _, ln := range l.turns {
+		if len(ln.items) > len(longest.items) {
+			longest = ln
+		}
+	}
+	return longest
+}
+
+func (l *lane[T]) remove(item *Item[T]) {
+	ln := item.line
+	i := slices.Index(ln.items, item)
+	ln.items = slices.Delete(ln.items, i, i+1)
+	item.line = nil
+	l.len--
+	if len(ln.items) > 0 {
+		return
+	}
+	delete(l.lines, ln.caller)
+	t := slices.Index(l.turns, ln)
+	l.turns = slices.Delete(l.turns, t, t+1)
+}
+
+// take offers the oldest item of each caller in turn.
+func (l *lane[T]) take(now time.Time, place func(*Item[T]) bool, drop func(*Item[T])) *Item[T] {
+	for i := 0; i < len(l.turns); {
+		ln := l.turns[i]
+		item := ln.items[0]
+		if now.After(item.Expiry) {
+			l.remove(item)
+			if drop != nil {
+				drop(item)
+			}
+			continue
+		}
+		if !place(item) {
+			i++
+			continue
+		}
+		l.remove(item)
+		l.pass(ln)
+		return item
+	}
+	return nil
+}
+
+// pass moves a line to the end of the turns.
+func (l *lane[T]) pass(ln *line[T]) {
+	t := slices.Index(l.turns, ln)
+	if t < 0 {
+		return
+	}
+	l.turns = slices.Delete(l.turns, t, t+1)
+	l.turns = append(l.turns, ln)
+}
