Add the pool of a service's backends

Cause: the request path needs a slot at a backend, the most valuable work first. Change: internal/pool decides in Core (two choices on in-flight counts, limits that fall on sheds, nearest places first, trials, refusals with facts) and waits in Pool.

--- /dev/null
+++ b/internal/pool/choice.go
@@ -0,0 +1,123 @@
+package pool
+
+import (
+	"math/bits"
+	"slices"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// Strategy chooses among the backends of one distance.
+type Strategy interface {
+	// Choose returns the index of an option that has room, or -1.
+	Choose(c *Choice) int
+}
+
+// Choice is one decision: the options and the demand. It is used by one
+// goroutine.
+type Choice struct {
+	members []*member
+	tried   []mustardramp.BackendID
+	at      int64
+	roll    uint64
+}
+
+// Len returns the number of options.
+func (c *Choice) Len() int {
+	return len(c.members)
+}
+
+// Room reports whether option i may take the attempt.
+func (c *Choice) Room(i int) bool {
+	m := c.members[i]
+	return m.room(c.at) && !slices.Contains(c.tried, m.backend.ID)
+}
+
+// Fill returns the share of the limit of option i that one more attempt would
+// use.
+func (c *Choice) Fill(i int) float64 {
+	return c.members[i].fill()
+}
+
+// Intn returns the next random number below n, which is above 0.
+func (c *Choice) Intn(n int) int {
+	c.roll = mix(c.roll)
+	hi, _ := bits.Mul64(c.roll, uint64(n))
+	return int(hi)
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// TwoChoices takes the less filled of two random backends with room. Its zero
+// value works.
+type TwoChoices struct{}
+
+// Choose implements Strategy.
+func (TwoChoices) Choose(c *Choice) int {
+	n := c.Len()
+	if n == 0 {
+		return -1
+	}
+	first := next(c, c.Intn(n))
+	if first < 0 || n == 1 {
+		return first
+	}
+	second := next(c, c.Intn(n))
+	if second >= 0 && c.Fill(second) < c.Fill(first) {
+		return second
+	}
+	return first
+}
+
+// Random takes a random backend with room. Its zero value works.
+type Random struct{}
+
+// Choose implements Strategy.
+func (Random) Choose(c *Choice) int {
+	if c.Len() == 0 {
+		return -1
+	}
+	return next(c, c.Intn(c.Len()))
+}
+
+// LeastFilled takes the least filled of all backends with room. Its zero value
+// works.
+type LeastFilled struct{}
+
+// Choose implements Strategy.
+func (LeastFilled) Choose(c *Choice) int {
+	best := -1
+	n := c.Len()
+	if n == 0 {
+		return best
+	}
+	start := c.Intn(n)
+	for k := range n {
+		i := (start + k) % n
+		if c.Room(i) && (best < 0 || c.Fill(i) < c.Fill(best)) {
+			best = i
+		}
+	}
+	return best
+}
+
+// next returns the first option with room from i on, around the end, or -1.
+func next(c *Choice, i int) int {
+	n := c.Len()
+	for range n {
+		if c.Room(i) {
+			return i
+		}
+		i++
+		if i == n {
+			i = 0
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/pool/core.go
@@ -0,0 +1,362 @@
+package pool
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/queue"
+)
+
+const (
+	// crossing is the time that a request loses on the way to another region
+	// and back.
+	crossing = 16 * time.Millisecond
+	// trialEvery is the number of fit requests of which one goes to a backend
+	// on trial.
+	trialEvery = 20
+	// enterTries is how often a choice is repeated when another request took
+	// the last place.
+	enterTries = 4
+)
+
+// Lease is the right to one attempt at a backend. Its zero value is none.
+type Lease struct {
+	member  *member
+	rank    mustardramp.Rank
+	granted time.Time
+}
+
+// Backend returns the backend to send the attempt to.
+func (l *Lease) Backend() mustardramp.Backend {
+	return l.member.backend
+}
+
+// Valid reports whether the lease names a backend.
+func (l *Lease) Valid() bool {
+	return l.member != nil
+}
+
+// Ticket is one place in the queue. A ticket is settled once: by a lease or by
+// a denial.
+type Ticket struct {
+	item   queue.Item[*Ticket]
+	demand mustardramp.Demand
+	lease  Lease
+	denial *mustardramp.Denial
+	// wake receives once when the ticket is settled; it may be nil.
+	wake chan struct{}
+}
+
+// Expiry returns the last time at which a start is of use.
+func (t *Ticket) Expiry() time.Time {
+	return t.item.Expiry
+}
+
+// Core holds the decisions of a pool. It reads no clock and starts nothing;
+// its methods may be called by many goroutines.
+type Core struct {
+	strategy Strategy
+	link     Link
+	place    mustardramp.Place
+	view     atomic.Pointer[view]
+	terms    atomic.Pointer[Terms]
+	seed     uint64
+	rolls    atomic.Uint64
+	// queued is the number of waiting tickets; while it is 0 no lock is taken.
+	queued atomic.Int64
+	// costs are the moving mean slot times by rank in nanoseconds.
+	costs [mustardramp.RankCount]atomic.Int64
+
+	mu    sync.Mutex
+	queue queue.Queue[*Ticket]
+	drain drain
+}
+
+// NewCore returns a core without backends.
+func NewCore(config Config) *Core {
+	c := &Core{strategy: config.Strategy, link: config.Link, place: config.Place, seed: mix(config.Seed)}
+	c.view.Store(&view{})
+	c.queue.Drop = func(item *queue.Item[*Ticket]) {
+		c.queued.Add(-1)
+		c.refuse(item.Value, c.late(item.Value, item.Expiry))
+	}
+	c.Configure(config.Terms)
+	return c
+}
+
+// Configure replaces the terms. Waiting tickets keep their expiry.
+func (c *Core) Configure(terms Terms) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.terms.Store(&terms)
+	c.queue.Configure(terms.queue())
+}
+
+// Update replaces the view of the backends.
+func (c *Core) Update(now time.Time, standings []mustardramp.Standing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.view.Store(build(c.view.Load(), c.place, standings))
+	c.dispatch(now)
+}
+
+// Offer asks for a slot. It returns a valid lease, or a ticket in the queue,
+// or a denial.
+func (c *Core) Offer(now time.Time, demand mustardramp.Demand) (Lease, *Ticket, *mustardramp.Denial) {
+	if !demand.Deadline.IsZero() && !now.Before(demand.Deadline) {
+		return Lease{}, nil, c.past(demand)
+	}
+	if c.queued.Load() == 0 {
+		if m := c.try(now, &demand); m != nil {
+			return c.lease(now, m, demand.Rank), nil, nil
+		}
+	}
+	return c.enqueue(now, demand)
+}
+
+// Finish ends an attempt and gives the free slot to waiting tickets.
+func (c *Core) Finish(now time.Time, lease Lease, result mustardramp.Result, latency time.Duration) {
+	lease.member.leave(result, latency, now)
+	if result == mustardramp.ResultGood {
+		c.learn(lease.rank, now.Sub(lease.granted))
+	}
+	if c.queued.Load() > 0 {
+		c.Poll(now)
+	}
+}
+
+// Poll gives free slots to waiting tickets. It is called when a hold ends,
+// since nothing else happens at that time.
+func (c *Core) Poll(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dispatch(now)
+}
+
+// Settled returns the ticket's lease or denial, or false while it waits.
+func (c *Core) Settled(t *Ticket) (Lease, *mustardramp.Denial, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return t.lease, t.denial, t.lease.Valid() || t.denial != nil
+}
+
+// Expire denies a ticket that waits past its expiry.
+func (c *Core) Expire(now time.Time, t *Ticket) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dispatch(now)
+	if now.Before(t.item.Expiry) || !c.queue.Remove(&t.item) {
+		return
+	}
+	c.queued.Add(-1)
+	c.refuse(t, c.late(t, now))
+}
+
+// Withdraw takes back a ticket whose caller went away. A lease that was
+// granted meanwhile is returned and must be finished.
+func (c *Core) Withdraw(t *Ticket) Lease {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.queue.Remove(&t.item) {
+		c.queued.Add(-1)
+	}
+	return t.lease
+}
+
+// Release returns the next time at which a held backend takes work again, or
+// false when none is held.
+func (c *Core) Release(now time.Time) (time.Time, bool) {
+	at := now.UnixNano()
+	var first int64
+	c.view.Load().each(func(m *member) {
+		if h := m.held.Load(); h > at && (first == 0 || h < first) {
+			first = h
+		}
+	})
+	return time.Unix(0, first), first != 0
+}
+
+func (c *Core) enqueue(now time.Time, demand mustardramp.Demand) (Lease, *Ticket, *mustardramp.Denial) {
+	if denial := c.hopeless(now, &demand); denial != nil {
+		return Lease{}, nil, denial
+	}
+	t := &Ticket{demand: demand, wake: make(chan struct{}, 1)}
+	t.item = queue.Item[*Ticket]{
+		Value: t, Rank: demand.Rank, Caller: demand.Caller,
+		Added: now, Expiry: c.expiry(now, &demand),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if denial := c.tooLate(now, t); denial != nil {
+		return Lease{}, nil, denial
+	}
+	// The count goes up before the slots are looked at again: a request that
+	// ends meanwhile either sees the count or leaves its slot to be seen.
+	c.queued.Add(1)
+	if evicted := c.queue.Push(&t.item); evicted != nil {
+		c.queued.Add(-1)
+		c.refuse(evicted.Value, c.full(evicted.Value))
+	}
+	c.dispatch(now)
+	return t.lease, t, t.denial
+}
+
+// dispatch gives free slots to waiting tickets in the queue's order.
+func (c *Core) dispatch(now time.Time) {
+	costs := c.slotTimes()
+	for c.queue.Total() > 0 && c.anyRoom(now) {
+		var m *member
+		item := c.queue.Next(now, costs, func(item *queue.Item[*Ticket]) bool {
+			m = c.try(now, &item.Value.demand)
+			return m != nil
+		})
+		if item == nil {
+			return
+		}
+		c.queued.Add(-1)
+		c.drain.served(now, item.Added)
+		c.settle(item.Value, c.lease(now, m, item.Rank))
+	}
+}
+
+// anyRoom is a quick test before tickets are offered one by one.
+func (c *Core) anyRoom(now time.Time) bool {
+	at := now.UnixNano()
+	v := c.view.Load()
+	for _, tier := range v.tiers {
+		for _, m := range tier {
+			if m.room(at) {
+				return true
+			}
+		}
+	}
+	for _, m := range v.trials {
+		if m.room(at) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) lease(now time.Time, m *member, rank mustardramp.Rank) Lease {
+	return Lease{member: m, rank: rank, granted: now}
+}
+
+func (c *Core) settle(t *Ticket, lease Lease) {
+	t.lease = lease
+	t.notify()
+}
+
+func (c *Core) refuse(t *Ticket, denial *mustardramp.Denial) {
+	t.denial = denial
+	t.notify()
+}
+
+func (t *Ticket) notify() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// try takes a place at a backend with room, nearest first, or returns nil.
+func (c *Core) try(now time.Time, demand *mustardramp.Demand) *member {
+	v := c.view.Load()
+	at := now.UnixNano()
+	roll := c.roll()
+	if m := tryTrial(v, demand, at, roll); m != nil {
+		return m
+	}
+	for d, tier := range v.tiers {
+		if len(tier) == 0 {
+			continue
+		}
+		across := mustardramp.Distance(d) == mustardramp.AcrossRegions
+		if across && !c.crossingPays(v) {
+			continue
+		}
+		m := c.choose(tier, demand.Tried, at, roll)
+		if m == nil {
+			continue
+		}
+		if across && c.link != nil && !c.link.Allow(demand.Rank, demand.Size, now) {
+			m.inFlight.Add(-1)
+			continue
+		}
+		return m
+	}
+	return nil
+}
+
+func (c *Core) roll() uint64 {
+	return mix(c.seed + c.rolls.Add(1))
+}
+
+// choose takes a place at one member of a tier.
+func (c *Core) choose(tier []*member, tried []mustardramp.BackendID, at int64, roll uint64) *member {
+	choice := Choice{members: tier, tried: tried, at: at, roll: roll}
+	for range enterTries {
+		var i int
+		if c.strategy == nil {
+			// A call of the known type keeps the choice on the stack.
+			i = TwoChoices{}.Choose(&choice)
+		} else {
+			other := choice
+			i = c.strategy.Choose(&other)
+			choice.roll = other.roll
+		}
+		if i < 0 {
+			return nil
+		}
+		if tier[i].enter() {
+			return tier[i]
+		}
+	}
+	return nil
+}
+
+// tryTrial sends one in trialEvery of the idempotent requests of the least
+// rank to a backend on trial, one at a time.
+func tryTrial(v *view, demand *mustardramp.Demand, at int64, roll uint64) *member {
+	if len(v.trials) == 0 || !demand.Idempotent || demand.Rank != mustardramp.Bulk || len(demand.Tried) > 0 {
+		return nil
+	}
+	if roll%trialEvery != 0 {
+		return nil
+	}
+	m := v.trials[mix(roll)%uint64(len(v.trials))]
+	if !m.room(at) || !m.enter() {
+		return nil
+	}
+	return m
+}
+
+// crossingPays reports whether the wait for a near backend is longer than the
+// way to a far one.
+func (c *Core) crossingPays(v *view) bool {
+	near := v.near()
+	if near.limit == 0 {
+		return true
+	}
+	waiting := float64(c.queued.Load() + 1)
+	wait := waiting * float64(near.latency) / float64(near.limit)
+	return wait > float64(crossing)
+}
+
+func (c *Core) learn(rank mustardramp.Rank, used time.Duration) {
+	old := c.costs[rank].Load()
+	if old == 0 {
+		c.costs[rank].Store(int64(used))
+		return
+	}
+	c.costs[rank].Store(old + int64(smoothing*float64(int64(used)-old)))
+}
+
+func (c *Core) slotTimes() (costs queue.Costs) {
+	for r := range costs {
+		costs[r] = time.Duration(c.costs[r].Load())
+	}
+	return costs
+}
--- /dev/null
+++ b/internal/pool/member.go
@@ -0,0 +1,153 @@
+package pool
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+const (
+	// shedHold is how long a backend gets no work after it shed a request.
+	shedHold = 10 * time.Millisecond
+	// dialHold is how long a backend gets no work after a failed dial.
+	dialHold = 100 * time.Millisecond
+	// decrease is the factor of the limit after a shed.
+	decrease = 0.7
+	// smoothing is the weight of a new latency in the moving mean.
+	smoothing = 0.1
+)
+
+// load is what this host knows of one backend's load. It outlives the updates
+// of the view, and all its fields are used by many goroutines.
+type load struct {
+	// inFlight is never negative, and above the limit only after the limit
+	// fell.
+	inFlight atomic.Int32
+	// limit holds the bits of a float64: the adaptive limit, at least 1.
+	limit atomic.Uint64
+	// latency is the moving mean in nanoseconds; 0 means not known.
+	latency atomic.Int64
+	// held is the time in Unix nanoseconds up to which no work is sent.
+	held atomic.Int64
+	// left is the incarnation that said it is leaving, plus one.
+	left atomic.Uint64
+}
+
+func newLoad(ceiling int32) *load {
+	l := &load{}
+	l.limit.Store(math.Float64bits(float64(ceiling)))
+	return l
+}
+
+// member is a backend as one view sees it. It does not change.
+type member struct {
+	*load
+	backend mustardramp.Backend
+	// ceiling is the number of slots that this host may use; at least 1.
+	ceiling int32
+	trial   bool
+}
+
+// cap returns how many attempts may be in flight: at least 1, at most the
+// ceiling.
+func (m *member) cap() int32 {
+	limit := int32(math.Float64frombits(m.limit.Load()))
+	return max(1, min(limit, m.ceiling))
+}
+
+// open reports whether the member takes work at all at a time.
+func (m *member) open(at int64) bool {
+	if m.held.Load() > at {
+		return false
+	}
+	return m.left.Load() != uint64(m.backend.Incarnation)+1
+}
+
+// room reports whether the member takes one more attempt.
+func (m *member) room(at int64) bool {
+	return m.inFlight.Load() < m.cap() && m.open(at)
+}
+
+// fill is the share of the member's limit that one more attempt would use.
+func (m *member) fill() float64 {
+	return float64(m.inFlight.Load()+1) / float64(m.cap())
+}
+
+// enter takes one place in flight, or reports false.
+func (m *member) enter() bool {
+	for {
+		n := m.inFlight.Load()
+		if n >= m.cap() {
+			return false
+		}
+		if m.inFlight.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// leave ends one attempt and learns from its result.
+func (m *member) leave(result mustardramp.Result, latency time.Duration, now time.Time) {
+	n := m.inFlight.Add(-1) + 1
+	switch result {
+	case mustardramp.ResultShed:
+		m.shrink(n)
+		m.hold(now.Add(shedHold))
+	case mustardramp.ResultDial:
+		m.hold(now.Add(dialHold))
+	case mustardramp.ResultLeaving:
+		m.left.Store(uint64(m.backend.Incarnation) + 1)
+	case mustardramp.ResultGood:
+		m.grow(n)
+		m.learn(latency)
+	}
+}
+
+// shrink lowers the limit after a shed at n in flight.
+func (m *member) shrink(n int32) {
+	for {
+		old := m.limit.Load()
+		limit := min(math.Float64frombits(old), float64(n))
+		next := max(1, limit*decrease)
+		if m.limit.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
+// grow raises the limit by one in a limit's worth of good answers, while the
+// limit is in use.
+func (m *member) grow(n int32) {
+	for {
+		old := m.limit.Load()
+		limit := math.Float64frombits(old)
+		if limit >= float64(m.ceiling) || float64(n)+1 < limit {
+			return
+		}
+		next := min(limit+1/limit, float64(m.ceiling))
+		if m.limit.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
+func (m *member) hold(until time.Time) {
+	at := until.UnixNano()
+	for {
+		old := m.held.Load()
+		if old >= at || m.held.CompareAndSwap(old, at) {
+			return
+		}
+	}
+}
+
+func (m *member) learn(latency time.Duration) {
+	old := m.latency.Load()
+	if old == 0 {
+		m.latency.Store(int64(latency))
+		return
+	}
+	m.latency.Store(old + int64(smoothing*float64(int64(latency)-old)))
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,113 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// Pool waits for the decisions of a Core.
+type Pool struct {
+	core    *Core
+	clock   mustardramp.Clock
+	results Results
+}
+
+var _ mustardramp.Pool = (*Pool)(nil)
+
+// New returns a pool without backends; Update brings them.
+func New(config Config) *Pool {
+	clock := config.Clock
+	if clock == nil {
+		clock = mustardramp.SystemClock{}
+	}
+	return &Pool{core: NewCore(config), clock: clock, results: config.Results}
+}
+
+// Configure replaces the terms, as after a new revision of the contract.
+func (p *Pool) Configure(terms Terms) {
+	p.core.Configure(terms)
+}
+
+// Update implements mustardramp.Pool.
+func (p *Pool) Update(standings []mustardramp.Standing) {
+	p.core.Update(p.clock.Now(), standings)
+}
+
+// Acquire implements mustardramp.Pool.
+func (p *Pool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	lease, ticket, denial := p.core.Offer(p.clock.Now(), demand)
+	if denial != nil {
+		return nil, denial
+	}
+	if lease.Valid() {
+		return p.slot(lease), nil
+	}
+	return p.wait(ctx, ticket)
+}
+
+// wait returns when the ticket is settled or the caller has gone.
+func (p *Pool) wait(ctx context.Context, ticket *Ticket) (mustardramp.Slot, error) {
+	timer := time.NewTimer(p.nap(ticket))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ticket.wake:
+		case <-timer.C:
+			p.core.Expire(p.clock.Now(), ticket)
+		case <-ctx.Done():
+			return nil, p.abandon(ctx, ticket)
+		}
+		lease, denial, settled := p.core.Settled(ticket)
+		if !settled {
+			timer.Reset(p.nap(ticket))
+			continue
+		}
+		if denial != nil {
+			return nil, denial
+		}
+		return p.slot(lease), nil
+	}
+}
+
+// nap returns the time until the ticket expires or a held backend takes work
+// again.
+func (p *Pool) nap(ticket *Ticket) time.Duration {
+	now := p.clock.Now()
+	until := ticket.Expiry()
+	if at, held := p.core.Release(now); held && at.Before(until) {
+		until = at
+	}
+	return max(until.Sub(now), time.Millisecond)
+}
+
+// abandon withdraws the ticket and gives a lease that came too late back.
+func (p *Pool) abandon(ctx context.Context, ticket *Ticket) error {
+	if lease := p.core.Withdraw(ticket); lease.Valid() {
+		p.core.Finish(p.clock.Now(), lease, mustardramp.ResultAbandoned, 0)
+	}
+	return ctx.Err()
+}
+
+func (p *Pool) slot(lease Lease) *slot {
+	return &slot{Lease: lease, pool: p}
+}
+
+// slot implements mustardramp.Slot.
+type slot struct {
+	Lease
+	pool *Pool
+}
+
+// Release implements mustardramp.Slot.
+func (s *slot) Release(result mustardramp.Result, latency time.Duration) {
+	now := s.pool.clock.Now()
+	s.pool.core.Finish(now, s.Lease, result, latency)
+	if s.pool.results != nil {
+		s.pool.results.Observe(s.rank, result, now)
+	}
+}
