Take the announcements of backends

Cause: there is no list of backends; each one announces itself. Change: an HTTP endpoint that checks token, form and contract and refuses with every fault named, and a client library that announces and renews. Conclusion: the client's life passes through the endpoint in TestClient.

--- /dev/null
+++ b/internal/announcement/announcement_test.go
@@ -0,0 +1,143 @@
+package announcement
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/pkg/announce"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+const mohor = "service: mohor\nslots: 6\nconnections: 400\nroutes:\n  - {path: /a, methods: [GET]}\n"
+
+type fakeRoster struct {
+	backends []mustardramp.Backend
+	leases   []time.Duration
+	err      error
+}
+
+func (r *fakeRoster) Announce(_ time.Time, b mustardramp.Backend, lease time.Duration) error {
+	r.backends = append(r.backends, b)
+	r.leases = append(r.leases, lease)
+	return r.err
+}
+
+func newHandler(t *testing.T, roster Roster, known bool) *Handler {
+	t.Helper()
+	c, err := contract.Parse("mohor.yaml", []byte(mohor))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := contract.NewSet(1, []*contract.Contract{c})
+	return New(Config{
+		Roster: roster,
+		Contracts: func() *contract.Set {
+			if !known {
+				return nil
+			}
+			return set
+		},
+		Tokens: []string{"old", "new"},
+		Zones:  map[mustardramp.Zone]mustardramp.Region{"kol-a": "kolkata"},
+	})
+}
+
+const good = `{"service":"mohor","address":"10.0.0.1:80","zone":"kol-a","state":"serving","incarnation":1,"sequence":2,"lease":10000}`
+
+func TestAnnouncements(t *testing.T) {
+	tests := map[string]struct {
+		body, token, kind string
+		known             bool
+		err               error
+		status            int
+		reason            string
+	}{
+		"good":             {good, "Bearer new", "application/json", true, nil, 204, ""},
+		"old token":        {good, "bearer old", "application/json", true, nil, 204, ""},
+		"no token":         {good, "", "application/json", true, nil, 401, "token"},
+		"wrong token":      {good, "Bearer nev", "application/json", true, nil, 401, "token"},
+		"other scheme":     {good, "Basic new", "application/json", true, nil, 401, "token"},
+		"other type":       {good, "Bearer new", "text/plain", true, nil, 415, "application/json"},
+		"no configuration": {good, "Bearer new", "application/json", false, nil, 503, "configuration"},
+		"stale":            {good, "Bearer new", "application/json", true, ErrStale.New("older"), 409, "older"},
+		"roster full":      {good, "Bearer new", "application/json", true, ErrFull, 503, "full"},
+		"not JSON":         {"{", "Bearer new", "application/json", true, nil, 400, "valid"},
+		"two":              {good + good, "Bearer new", "application/json", true, nil, 400, "more than one"},
+		"unknown field":    {`{"serivce":"a"}`, "Bearer new", "application/json", true, nil, 400, "serivce"},
+		"unknown state":    {strings.Replace(good, "serving", "well", 1), "Bearer new", "application/json", true, nil, 400, "well"},
+		"host name":        {strings.Replace(good, "10.0.0.1", "host", 1), "Bearer new", "application/json", true, nil, 400, "valid"},
+		"too long":         {`{"service":"` + strings.Repeat("a", MaxSize) + `"}`, "Bearer new", "application/json", true, nil, 413, "longer"},
+		"unknown service":  {strings.Replace(good, "mohor", "dhwani", 1), "Bearer new", "application/json", true, nil, 422, "no contract"},
+		"unspecified":      {strings.Replace(good, "10.0.0.1", "0.0.0.0", 1), "Bearer new", "application/json", true, nil, 422, "unspecified"},
+		"multicast":        {strings.Replace(good, "10.0.0.1", "224.0.0.1", 1), "Bearer new", "application/json", true, nil, 422, "multicast"},
+		"port 0":           {strings.Replace(good, ":80", ":0", 1), "Bearer new", "application/json", true, nil, 422, "port 0"},
+		"unknown zone":     {strings.Replace(good, "kol-a", "kol-z", 1), "Bearer new", "application/json", true, nil, 422, "not a zone"},
+		"wrong region":     {strings.Replace(good, `"zone"`, `"region":"siliguri","zone"`, 1), "Bearer new", "application/json", true, nil, 422, "belongs to"},
+		"no incarnation":   {strings.Replace(good, `"incarnation":1`, `"incarnation":0`, 1), "Bearer new", "application/json", true, nil, 422, "incarnation"},
+		"long lease":       {strings.Replace(good, "10000", "9000000", 1), "Bearer new", "application/json", true, nil, 422, "lease"},
+		"negative slots":   {strings.Replace(good, `"lease"`, `"slots":-1,"lease"`, 1), "Bearer new", "application/json", true, nil, 422, "slots"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			roster := &fakeRoster{err: test.err}
+			r := httptest.NewRequest(http.MethodPost, announce.Path, strings.NewReader(test.body))
+			r.Header.Set("Content-Type", test.kind)
+			r.Header.Set("Authorization", test.token)
+			w := httptest.NewRecorder()
+			newHandler(t, roster, test.known).ServeHTTP(w, r)
+			if got := w.Code; got != test.status {
+				t.Errorf("status: got %d, want %d", got, test.status)
+			}
+			if got := w.Body.String(); !strings.Contains(got, test.reason) {
+				t.Errorf("answer: got %s, want it to say %q", got, test.reason)
+			}
+			if got, want := len(roster.backends) == 1, test.status == 204 || test.err != nil; got != want {
+				t.Errorf("taken in: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// TestClient lets the client library announce a backend through its life.
+func TestClient(t *testing.T) {
+	roster := &fakeRoster{}
+	server := httptest.NewServer(newHandler(t, roster, true))
+	defer server.Close()
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	client := &announce.Client{
+		Hosts: []string{"http://127.0.0.1:1", server.URL},
+		Token: "new",
+		About: announce.Announcement{Service: "mohor", Address: address, Zone: "kol-a", Incarnation: 4},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	client.Failed = func(err error) { t.Errorf("announcement: got %v, want it taken", err) }
+	steps := []func(context.Context) error{client.Serve, client.Leave, client.Serve, client.Gone}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	cancel()
+	want := []mustardramp.BackendState{mustardramp.Serving, mustardramp.Leaving, mustardramp.Leaving, mustardramp.Gone}
+	for i, b := range roster.backends {
+		if b.State != want[i] || b.Sequence != mustardramp.Sequence(i+1) || b.ID != "mohor/10.0.0.1:80" {
+			t.Errorf("statement %d: got %+v, want state %v, sequence %d", i, b, want[i], i+1)
+		}
+		if b.Slots != 6 || b.Connections != 400 || b.Place.Region != "kolkata" {
+			t.Errorf("statement %d: got %+v, want what the contract and the zone supply", i, b)
+		}
+	}
+	if got := len(roster.backends); got != len(want) {
+		t.Errorf("statements: got %d, want %d", got, len(want))
+	}
+	refused := &announce.Client{Hosts: []string{server.URL}, Token: "nev"}
+	if err := refused.Serve(context.Background()); !announce.ErrAnnounce.Has(err) || !strings.Contains(err.Error(), "token") {
+		t.Errorf("refused announcement: got %v, want the host's reason", err)
+	}
+}
