Add the data path of an entry host

Cause: requests need a rule, a slot, one dispatch and a true answer. Change: checks, route match, claim of keyed operations, attempts within the contract, relay of whole answers, refusals as problem documents. Connections to backends prove whether a byte left and end an attempt before the transport would send it again. A Connection header of an answer that names other headers beside close is not honoured: net/http removes it before it can be read.

--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,330 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+var (
+	errTimeout = errs.New("no answer before the deadline")
+	errStall   = errs.New("no byte of the answer came in time")
+	errCut     = errs.New("the operator cut the requests in flight")
+)
+
+// outcome is how one attempt ended.
+type outcome struct {
+	// relayed is true when the caller got the backend's answer, or its start.
+	relayed bool
+	// repeatable is true when the contract or the proof that nothing ran
+	// allows another attempt.
+	repeatable bool
+	// denial explains a failure. It is set unless relayed is true.
+	denial *mustardramp.Denial
+	// answer is a backend's whole answer that may still be relayed when no
+	// further attempt is possible.
+	answer *answer
+}
+
+// attempt is one dispatch to one backend.
+type attempt struct {
+	x       *exchange
+	slot    mustardramp.Slot
+	backend mustardramp.Backend
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	// due ends the attempt at the deadline, until the answer begins.
+	due     *time.Timer
+	stopper func() bool
+
+	wire *wire
+	// began is when the attempt was dispatched, or when the last byte of a
+	// streamed body left.
+	began time.Time
+	// latency is the time to the first byte of the answer.
+	latency time.Duration
+
+	mu sync.Mutex
+	// headed is true once informational answers may not be passed on.
+	headed bool
+	// sentAt is when the whole request had left, or zero.
+	sentAt time.Time
+}
+
+// dispatch sends the request to the slot's backend, relays the answer and
+// releases the slot.
+func (x *exchange) dispatch(slot mustardramp.Slot) *outcome {
+	a := &attempt{x: x, slot: slot, backend: slot.Backend(), began: x.h.config.Clock.Now()}
+	x.tried = append(x.tried, a.backend.ID)
+	a.start()
+	defer a.stop()
+	response, err := a.send(x.transport())
+	if err != nil && a.stale() {
+		response, err = a.resend()
+	}
+	a.latency = a.sinceSent()
+	if err != nil {
+		return a.failed(err)
+	}
+	a.due.Stop()
+	return a.receive(response)
+}
+
+// start builds the attempt's context. Non-idempotent work goes on when the
+// caller leaves, so that its outcome is known; other work ends at once.
+func (a *attempt) start() {
+	parent := a.x.r.Context()
+	if a.x.route.Once {
+		parent = a.x.h.base
+	}
+	a.ctx, a.cancel = context.WithCancelCause(parent)
+	if !a.x.route.Once {
+		a.stopper = context.AfterFunc(a.x.h.base, func() { a.cancel(errCut) })
+	}
+	left := a.x.deadline.Sub(a.began)
+	a.due = time.AfterFunc(left, func() { a.cancel(errTimeout) })
+}
+
+func (a *attempt) stop() {
+	a.due.Stop()
+	if a.stopper != nil {
+		a.stopper()
+	}
+	a.cancel(nil)
+}
+
+// stale reports whether the attempt met a kept connection that the backend
+// had closed before, so that no byte left and no part of a body was read.
+func (a *attempt) stale() bool {
+	return a.wire != nil &&
+		errors.Is(context.Cause(a.ctx), errBroken) &&
+		!a.wire.fence() &&
+		a.x.body.replayable()
+}
+
+// resend starts over with a connection of its own.
+func (a *attempt) resend() (*http.Response, error) {
+	a.stop()
+	a.wire = nil
+	a.start()
+	return a.send(a.x.h.transport.fresh)
+}
+
+func (a *attempt) send(transport *http.Transport) (*http.Response, error) {
+	x := a.x
+	out := (&http.Request{
+		Method: x.r.Method,
+		URL: &url.URL{
+			Scheme:     "http",
+			Host:       a.backend.Address.String(),
+			Path:       x.r.URL.Path,
+			RawPath:    x.r.URL.RawPath,
+			RawQuery:   x.r.URL.RawQuery,
+			ForceQuery: x.r.URL.ForceQuery,
+		},
+		Host:   x.r.Host,
+		Header: x.outgoing(),
+	}).WithContext(httptrace.WithClientTrace(a.ctx, a.trace()))
+	x.attach(out)
+	if x.body.stream == nil {
+		// The host has the body already, so there is nothing to wait for.
+		delete(out.Header, "Expect")
+	}
+	return transport.RoundTrip(out)
+}
+
+// transport chooses a connection of its own for work that must not repeat and
+// for bodies that cannot be sent again.
+func (x *exchange) transport() *http.Transport {
+	if x.route.Once || x.body.stream != nil {
+		return x.h.transport.fresh
+	}
+	return x.h.transport.kept
+}
+
+func (a *attempt) trace() *httptrace.ClientTrace {
+	trace := &httptrace.ClientTrace{
+		GotConn:        a.gotConn,
+		Got1xxResponse: a.informational,
+	}
+	if a.x.body.stream != nil {
+		trace.WroteRequest = a.wroteRequest
+	}
+	return trace
+}
+
+// gotConn is called by the goroutine of RoundTrip.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	if a.wire != nil {
+		// The transport is about to send again on its own.
+		a.cancel(errBroken)
+	}
+	c, ok := info.Conn.(*wire)
+	if !ok {
+		a.cancel(errBroken)
+		return
+	}
+	if a.wire == nil {
+		a.wire = c
+		c.bind(a)
+		return
+	}
+	c.fence()
+}
+
+func (a *attempt) wroteRequest(httptrace.WroteRequestInfo) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sentAt = a.x.h.config.Clock.Now()
+}
+
+// informational passes an answer of status 1xx on.
+func (a *attempt) informational(code int, header textproto.MIMEHeader) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.headed || code == http.StatusContinue || code == http.StatusSwitchingProtocols {
+		return nil
+	}
+	target := a.x.w.Header()
+	passed := forwardable(http.Header(header))
+	for name, values := range passed {
+		target[name] = values
+	}
+	a.x.w.WriteHeader(code)
+	for name := range passed {
+		delete(target, name)
+	}
+	return nil
+}
+
+// sinceSent returns the time that the backend took. The time of a streamed
+// body belongs to the caller.
+func (a *attempt) sinceSent() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.headed = true
+	from := a.began
+	if a.sentAt.After(from) {
+		from = a.sentAt
+	}
+	return a.x.h.config.Clock.Now().Sub(from)
+}
+
+// failed judges an attempt without an answer.
+func (a *attempt) failed(err error) *outcome {
+	x := a.x
+	wrote := a.wire != nil && a.wire.fence()
+	if wrote {
+		x.mayHaveRun()
+	}
+	result, denial := a.judge(err, wrote)
+	a.release(result)
+	return &outcome{
+		denial:     denial,
+		repeatable: result != mustardramp.ResultAbandoned && (!wrote || x.route.Idempotent()),
+	}
+}
+
+// judge says what a failure shows of the backend, and what the caller learns.
+func (a *attempt) judge(err error, wrote bool) (mustardramp.Result, *mustardramp.Denial) {
+	x := a.x
+	cause := context.Cause(a.ctx)
+	switch {
+	case errors.Is(cause, errCut):
+		return mustardramp.ResultAbandoned, x.interrupted(x.h.base)
+	case errors.Is(cause, errTimeout):
+		return mustardramp.ResultTimeout, &mustardramp.Denial{
+			Kind:   mustardramp.KindTimeout,
+			Reason: "the backend did not answer before the deadline",
+			Facts:  a.facts("deadline", x.deadline.Sub(x.arrived).String()),
+		}
+	case x.body.stream != nil && x.body.stream.failed.Load():
+		return mustardramp.ResultAbandoned, &mustardramp.Denial{
+			Kind:   mustardramp.KindCallerGone,
+			Reason: "the caller did not send the whole body",
+		}
+	case !x.route.Once && x.r.Context().Err() != nil:
+		return mustardramp.ResultAbandoned, x.interrupted(x.r.Context())
+	case errDial.Has(err):
+		return mustardramp.ResultDial, &mustardramp.Denial{
+			Kind:   mustardramp.KindDial,
+			Reason: "the backend could not be reached",
+			Facts:  a.facts("error", err.Error()),
+		}
+	case !wrote:
+		return mustardramp.ResultCut, &mustardramp.Denial{
+			Kind:   mustardramp.KindDial,
+			Reason: "the connection to the backend was gone before a byte left",
+			Facts:  a.facts("error", err.Error()),
+		}
+	default:
+		return mustardramp.ResultCut, &mustardramp.Denial{
+			Kind:   mustardramp.KindLost,
+			Reason: "the connection to the backend was lost before its answer",
+			Facts:  a.facts("error", err.Error()),
+		}
+	}
+}
+
+func (a *attempt) facts(name, value string) []mustardramp.Fact {
+	return []mustardramp.Fact{
+		{Name: "backend", Value: string(a.backend.ID)},
+		{Name: name, Value: value},
+	}
+}
+
+// release ends the use of the slot and reports the result as evidence.
+func (a *attempt) release(result mustardramp.Result) {
+	a.slot.Release(result, a.latency)
+	if a.x.h.config.Observer == nil {
+		return
+	}
+	a.x.h.config.Observer.Observe(mustardramp.Observation{
+		Backend: a.backend.ID,
+		Service: a.x.contract.Service,
+		Caller:  a.x.caller,
+		Rank:    a.x.route.Rank,
+		Result:  result,
+		Latency: a.latency,
+		At:      a.x.h.config.Clock.Now(),
+	})
+}
+
+// shed reports whether the backend declared that it did not run the request.
+func (a *attempt) shed(response *http.Response) (mustardramp.Result, bool) {
+	name := a.x.contract.Shed
+	if name == "" {
+		return 0, false
+	}
+	value := response.Header.Get(name)
+	if value == "" {
+		return 0, false
+	}
+	if strings.EqualFold(value, "leaving") {
+		return mustardramp.ResultLeaving, true
+	}
+	return mustardramp.ResultShed, true
+}
+
+func (a *attempt) shedDenial(response *http.Response) *mustardramp.Denial {
+	denial := &mustardramp.Denial{
+		Kind:   mustardramp.KindShed,
+		Reason: "the backend declared that it did not run the request",
+		Facts:  a.facts("status", strconv.Itoa(response.StatusCode)),
+	}
+	if s, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && s > 0 {
+		denial.RetryAfter = time.Duration(s) * time.Second
+	}
+	return denial
+}
--- /dev/null
+++ b/internal/entry/fixture_test.go
@@ -0,0 +1,343 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+const testContract = `service: mohor
+hosts: [mohor.example]
+home: kolkata
+shed: X-Shed
+ranks:
+  urgent: {wait: 3s}
+  normal: {share: 25, wait: 2s}
+routes:
+  - {path: /certifications, methods: [POST], rank: urgent, once: true, key: Idempotency-Key, deadline: 20s, whole: true}
+  - {path: /stamps, methods: [POST], once: true, deadline: 20s}
+  - {path: "/uploads/{id}", methods: [PUT], once: true, deadline: 20s}
+  - {path: "/files/{rest...}", methods: [GET, HEAD, PUT, POST], rank: bulk, retry: true, deadline: 20s}
+  - {path: "/plain/{rest...}", methods: [GET, HEAD, PUT, POST, OPTIONS], deadline: 20s}
+  - {path: "/whole/{id}", methods: [GET], retry: true, whole: true, deadline: 20s}
+  - {path: /short, methods: [GET], deadline: 50ms}
+`
+
+func parseContract(t testing.TB) *contract.Contract {
+	t.Helper()
+	c, err := contract.Parse("mohor.yaml", []byte(testContract))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Revision = 3
+	return c
+}
+
+// fakePool gives out its backends in order, passing over those tried.
+type fakePool struct {
+	mu       sync.Mutex
+	backends []mustardramp.Backend
+	denial   *mustardramp.Denial
+	results  []mustardramp.Result
+	demands  []mustardramp.Demand
+	held     int
+}
+
+func (p *fakePool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.demands = append(p.demands, demand)
+	if p.denial != nil {
+		return nil, p.denial
+	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	for _, b := range p.backends {
+		if !slices.Contains(demand.Tried, b.ID) {
+			p.held++
+			return &fakeSlot{pool: p, backend: b}, nil
+		}
+	}
+	return nil, &mustardramp.Denial{Kind: mustardramp.KindNoBackend, Reason: "no backend is left"}
+}
+
+func (p *fakePool) Update([]mustardramp.Standing) {}
+
+func (p *fakePool) seen() []mustardramp.Result {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.results)
+}
+
+type fakeSlot struct {
+	pool     *fakePool
+	backend  mustardramp.Backend
+	released atomic.Bool
+}
+
+func (s *fakeSlot) Backend() mustardramp.Backend { return s.backend }
+
+func (s *fakeSlot) Release(result mustardramp.Result, _ time.Duration) {
+	if s.released.Swap(true) {
+		panic("a slot was released twice")
+	}
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.pool.results = append(s.pool.results, result)
+	s.pool.held--
+}
+
+// fakeBudget allows a number of further attempts.
+type fakeBudget struct{ left atomic.Int64 }
+
+func (b *fakeBudget) Fresh(mustardramp.Rank, time.Time) {}
+
+func (b *fakeBudget) Allow(mustardramp.Rank, time.Time) bool { return b.left.Add(-1) >= 0 }
+
+var errUnreached = errors.New("no quorum")
+
+// fakeLedger keeps claims in memory. While down it answers with an error.
+type fakeLedger struct {
+	mu      sync.Mutex
+	down    bool
+	failing int
+	claims  map[mustardramp.ClaimID]*fakeClaim
+}
+
+type fakeClaim struct {
+	claim   mustardramp.Claim
+	running bool
+	attempt uint64
+	outcome mustardramp.Outcome
+	answer  *mustardramp.Answer
+}
+
+func (l *fakeLedger) Claim(_ context.Context, claim mustardramp.Claim) (mustardramp.ClaimReply, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return mustardramp.ClaimReply{}, errUnreached
+	}
+	if l.claims == nil {
+		l.claims = map[mustardramp.ClaimID]*fakeClaim{}
+	}
+	c := l.claims[claim.ID]
+	switch {
+	case c == nil:
+		c = &fakeClaim{claim: claim}
+		l.claims[claim.ID] = c
+	case c.claim.Digest != claim.Digest:
+		return mustardramp.ClaimReply{State: mustardramp.ClaimMismatch}, nil
+	case c.running:
+		return mustardramp.ClaimReply{State: mustardramp.ClaimRunning}, nil
+	case c.outcome == mustardramp.Ran:
+		return mustardramp.ClaimReply{State: mustardramp.ClaimRan, Answer: c.answer}, nil
+	case c.outcome == mustardramp.MayHaveRun:
+		return mustardramp.ClaimReply{State: mustardramp.ClaimUnsettled}, nil
+	}
+	c.running = true
+	c.attempt++
+	return mustardramp.ClaimReply{State: mustardramp.ClaimGranted, Attempt: c.attempt}, nil
+}
+
+func (l *fakeLedger) Settle(_ context.Context, s mustardramp.Settlement) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down || l.failing > 0 {
+		l.failing--
+		return errUnreached
+	}
+	c := l.claims[s.ID]
+	if c == nil || !c.running || c.attempt != s.Attempt {
+		return errors.New("no such claim")
+	}
+	c.running = false
+	c.outcome = s.Outcome
+	c.answer = s.Answer
+	return nil
+}
+
+func (l *fakeLedger) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// fixture is an entry host before some backends.
+type fixture struct {
+	handler *Handler
+	server  *httptest.Server
+	pool    *fakePool
+	budget  *fakeBudget
+	ledger  *fakeLedger
+}
+
+// Service makes the fixture its own Services.
+func (f *fixture) Service(mustardramp.ServiceName) *Service {
+	return &Service{Pool: f.pool, Budget: f.budget}
+}
+
+func newFixture(t testing.TB, backends ...string) *fixture {
+	t.Helper()
+	f := &fixture{pool: &fakePool{}, budget: &fakeBudget{}, ledger: &fakeLedger{}}
+	f.budget.left.Store(100)
+	for _, address := range backends {
+		b := mustardramp.Backend{
+			ID:      mustardramp.BackendID("mohor/" + address),
+			Service: "mohor",
+			Address: netip.MustParseAddrPort(address),
+			State:   mustardramp.Serving,
+		}
+		f.pool.backends = append(f.pool.backends, b)
+	}
+	set := contract.NewSet(1, []*contract.Contract{parseContract(t)})
+	f.handler = New(Config{
+		Host:        "kol-a-1",
+		Incarnation: 7,
+		Contracts:   func() *contract.Set { return set },
+		Services:    f,
+		Ledger:      f.ledger,
+	})
+	f.server = httptest.NewServer(f.handler)
+	t.Cleanup(func() {
+		f.server.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		_ = f.handler.Close(ctx)
+	})
+	return f
+}
+
+// serve starts a backend from a handler and returns its address.
+func serve(t testing.TB, handler http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// script starts a backend that runs a function on each connection.
+func script(t testing.TB, each func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error {
+				defer conn.Close()
+				each(conn, bufio.NewReader(conn))
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// deadAddress returns an address at which nothing listens.
+func deadAddress(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// readRequest reads one request with its body.
+func readRequest(reader *bufio.Reader) (*http.Request, error) {
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err
+}
+
+// ask sends a request with headers given as pairs.
+func (f *fixture) ask(t testing.TB, method, path, body string, header ...string) *http.Response {
+	t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	r, err := http.NewRequest(method, f.server.URL+path, reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "mohor.example"
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// text reads a body, which must be whole.
+func text(t testing.TB, response *http.Response) string {
+	t.Helper()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatalf("body: got error %v, want a whole body", err)
+	}
+	return string(body)
+}
+
+// wantRefusal checks kind and verdict of a refusal, also in the memory.
+func (f *fixture) wantRefusal(t testing.TB, response *http.Response, kind mustardramp.RefusalKind, verdict mustardramp.Verdict) mustardramp.Refusal {
+	t.Helper()
+	if got := response.Header.Get(HeaderReason); got != kind.String() {
+		t.Errorf("kind: got %q (status %d), want %q", got, response.StatusCode, kind)
+	}
+	if got, want := response.Header.Get(HeaderVerdict), verdictText(verdict); got != want {
+		t.Errorf("verdict: got %q, want %q", got, want)
+	}
+	r, ok := f.handler.Refusals().ByID(mustardramp.RefusalID(response.Header.Get(HeaderRefusal)))
+	if !ok {
+		t.Fatalf("refusal %q: got none in the memory, want it kept", response.Header.Get(HeaderRefusal))
+	}
+	return r
+}
+
+// eventually waits for what another goroutine brings about.
+func eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s: got nothing, want it to come about", what)
+}
