Number the claims of a process

Cause: when the reply to a claim is lost, the claim may be granted unheard. The entry host then sends nothing, but the key would stay claimed for good. Change: an optional number in Claim in the root package, by which a resent claim gets the first grant again, so that the entry host can settle it as not run. A ledger that ignores the number stays safe: the key is then left claimed.

--- a/ledger.go
+++ b/ledger.go
@@ -27,6 +27,10 @@
 	Home Region `json:"home" cbor:"5,keyasint"`
 	// Keep is for how long the key is kept after its outcome.
 	Keep time.Duration `json:"keep" cbor:"6,keyasint"`
+	// Ask numbers the claims of one process, from 1. A claim resent with the
+	// same number, after its reply was lost, gets the first one's grant again
+	// and never a second grant. 0 means that the claim is not resent.
+	Ask uint64 `json:"ask,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // ClaimState is the ledger's answer to a claim.
