--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -62,6 +62,8 @@
 	self   Member
 	timing Timing
 	random *rand.Rand
+	// appendBytes bounds the commands of one append.
+	appendBytes int
 	// joinable lists the hosts whose new identities the leader adds.
 	joinable map[mustardramp.HostName]bool
 
@@ -125,7 +127,7 @@
 }
 
 func newCore(self Member, timing Timing, random *rand.Rand) *core {
-	c := &core{self: self, timing: timing.orDefault(), random: random}
+	c := &core{self: self, timing: timing.orDefault(), random: random, appendBytes: defaultAppendBytes}
 	c.resetTimeout()
 	return c
 }
@@ -205,9 +207,14 @@
 		c.tickLeader()
 		return
 	}
-	if c.elapsed >= c.timeout && c.isVoter() {
-		c.campaign()
+	if c.elapsed < c.timeout {
+		return
+	}
+	if !c.isVoter() {
+		c.become(c.state.Term, 0)
+		return
 	}
+	c.campaign()
 }
 
 // step takes in a message.
--- a/internal/quorum/leading.go
+++ b/internal/quorum/leading.go
@@ -3,8 +3,8 @@
 import "github.com/mustardramp/mustardramp"
 
 const (
-	// appendLimit bounds the commands of one append, in bytes.
-	appendLimit = 1 << 20
+	// defaultAppendBytes bounds the commands of one append.
+	defaultAppendBytes = 1 << 20
 	// windowLimit bounds the entries sent to a member and not yet
 	// acknowledged.
 	windowLimit = 8192
@@ -150,7 +150,7 @@
 		return
 	}
 	if p.next <= c.log.last() && p.next-p.match <= windowLimit {
-		c.sendAppend(id, p, appendLimit)
+		c.sendAppend(id, p, c.appendBytes)
 		return
 	}
 	if p.told < c.commit || p.asked < c.leading.round {
