--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -298,3 +298,34 @@
 		})
 	}
 }
+
+func TestLateSnapshotKeepsWhatFollowsIt(t *testing.T) {
+	w := newWorld(t, 10, 3)
+	for i := range 5 {
+		w.commitOne(i)
+	}
+	behind := w.other(w.leader())
+	w.runUntil(settle, "copy", func() bool { return w.holds(behind, 4) })
+	last := behind.core.log.last()
+	term := behind.core.log.lastTerm()
+	i, err := newImage(Snapshot{Index: last - 1, Term: term, Membership: behind.core.membership()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	behind.core.commit, behind.core.handed = 1, 1
+	behind.core.step(Message{
+		Kind:    MessagePiece,
+		From:    w.leader().id.Member.ID,
+		To:      behind.id.Member.ID,
+		Term:    behind.core.state.Term,
+		Index:   i.Index,
+		LogTerm: i.Term,
+		Piece:   &Piece{Size: len(i.encoded), Sum: i.sum, Data: i.encoded},
+	})
+	if got := behind.core.log.last(); got != last {
+		t.Errorf("got last entry %d, want %d", got, last)
+	}
+	if got, want := behind.core.commit, last-1; got != want {
+		t.Errorf("got commit %d, want %d", got, want)
+	}
+}
--- a/internal/quorum/transfer.go
+++ b/internal/quorum/transfer.go
@@ -94,7 +94,10 @@
 
 func (c *core) handlePiece(m Message) {
 	c.follow(m.From)
-	if m.Index <= c.commit {
+	if c.holds(m.Index, m.LogTerm) {
+		// The entries after the snapshot stay: they may be acknowledged.
+		c.commit = max(c.commit, m.Index)
+		c.incoming = nil
 		c.acknowledge(m, m.Index)
 		return
 	}
