Measure the ways to share slots among hosts

Cause: 40 hosts share 54 slots, and each knows only its own requests. Conclusion: counts of one host cannot order the ranks; the slots need one queue for all hosts.

--- /dev/null
+++ b/internal/pool/choice_bench_test.go
@@ -0,0 +1,59 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// BenchmarkChoice measures the ways to share slots among hosts. Each run is a
+// simulated half minute; its own duration says nothing.
+func BenchmarkChoice(b *testing.B) {
+	sizes := map[string]size{
+		"patha":    {hosts: 40, backends: 9, slots: 6},
+		"mohor":    {hosts: 44, backends: 22, slots: 6},
+		"arkivmot": {hosts: 36, backends: 8, slots: 3},
+		"tildel":   {hosts: 40, backends: 15, slots: 3},
+	}
+	ways := []struct {
+		name string
+		make func(*fleet) way
+	}{
+		{"round-robin", roundRobin},
+		{"random", random},
+		{"least-in-flight", leastInFlight},
+		{"two-choices", func(f *fleet) way { return local(f, nil) }},
+		{"least-filled", func(f *fleet) way { return local(f, LeastFilled{}) }},
+		{"leases", func(f *fleet) way { return keepers(f, false) }},
+		{"carriers", func(f *fleet) way { return keepers(f, true) }},
+	}
+	for _, name := range []string{"patha", "mohor", "tildel", "arkivmot"} {
+		for _, load := range []int{50, 80, 95, 120} {
+			for _, w := range ways {
+				b.Run(fmt.Sprintf("%s/load=%d/%s", name, load, w.name), func(b *testing.B) {
+					for range b.N {
+						measureChoice(b, sizes[name], float64(load)/100, w.make)
+					}
+				})
+			}
+		}
+	}
+}
+
+func measureChoice(b *testing.B, s size, load float64, make func(*fleet) way) {
+	f := newFleet(s, fleetSeed)
+	// One slow backend, and one that announces twice the slots it has.
+	f.backends[1].Slowness = 10
+	f.backends[2].Slots /= 2
+	f.load(make(f), mustardramp.Normal, load*f.capacity(), 0, f.until, 10*time.Second)
+	f.run()
+	t := f.total()
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(t.mean().Seconds()*1000, "wait-ms")
+	b.ReportMetric(t.quantile(0.99).Seconds()*1000, "wait-p99-ms")
+	b.ReportMetric(100*float64(f.sheds)/float64(t.offered), "sheds/100")
+	b.ReportMetric(100*t.share(), "served-%")
+	b.ReportMetric(100*f.use(), "use-%")
+}
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -45,7 +45,7 @@
 	demand mustardramp.Demand
 	lease  Lease
 	denial *mustardramp.Denial
-	// wake receives once when the ticket is settled; it may be nil.
+	// wake receives once when the ticket is settled.
 	wake chan struct{}
 }
 
@@ -69,6 +69,9 @@
 	// costs are the moving mean slot times by rank in nanoseconds.
 	costs [mustardramp.RankCount]atomic.Int64
 
+	// wake is told of each settled ticket, with mu held.
+	wake func(*Ticket)
+
 	mu    sync.Mutex
 	queue queue.Queue[*Ticket]
 	drain drain
@@ -76,7 +79,7 @@
 
 // NewCore returns a core without backends.
 func NewCore(config Config) *Core {
-	c := &Core{strategy: config.Strategy, link: config.Link, place: config.Place, seed: mix(config.Seed)}
+	c := &Core{strategy: config.Strategy, link: config.Link, place: config.Place, seed: mix(config.Seed), wake: (*Ticket).notify}
 	c.view.Store(&view{})
 	c.queue.Drop = func(item *queue.Item[*Ticket]) {
 		c.queued.Add(-1)
@@ -246,12 +249,12 @@
 
 func (c *Core) settle(t *Ticket, lease Lease) {
 	t.lease = lease
-	t.notify()
+	c.wake(t)
 }
 
 func (c *Core) refuse(t *Ticket, denial *mustardramp.Denial) {
 	t.denial = denial
-	t.notify()
+	c.wake(t)
 }
 
 func (t *Ticket) notify() {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,6 +35,12 @@
 	p.core.Update(p.clock.Now(), standings)
 }
 
+// Estimate returns the time that a new request would wait, as far as it is
+// known.
+func (p *Pool) Estimate(rank mustardramp.Rank, caller mustardramp.CallerName) time.Duration {
+	return p.core.Estimate(rank, caller)
+}
+
 // Acquire implements mustardramp.Pool.
 func (p *Pool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
 	if err := ctx.Err(); err != nil {
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -70,6 +70,14 @@
 	return end
 }
 
+// Estimate returns the time that a new request would wait, as far as it is
+// known.
+func (c *Core) Estimate(rank mustardramp.Rank, caller mustardramp.CallerName) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.estimate(rank, caller)
+}
+
 // estimate returns the least time that a ticket must wait behind those that
 // are there, or 0 when it is not known.
 func (c *Core) estimate(rank mustardramp.Rank, caller mustardramp.CallerName) time.Duration {
