Share slots by leases from a keeper host

Change: internal/lease divides the backends of a zone into groups; the first living host in rendezvous order keeps a group and grants leases. Unreachable keepers are passed over; an isolated host keeps the groups itself; leases that no report lists for 5 s end. Wiring: lease.New(lease.Config{Pool: pool.Config{...}, Holder: lease.Holder{Host, Incarnation}, Peers: ...}) implements mustardramp.Pool; call SetHosts when the living entry hosts change and Step every second; answer the calls of other hosts with Grant and Take. Conclusion: tested in memory with 6 and 8 hosts; not yet run over a network.

--- /dev/null
+++ b/internal/lease/choice.go
@@ -0,0 +1,112 @@
+package lease
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// fade is the time in which a stated wait halves, so that a keeper that was
+// busy is asked again.
+const fade = time.Second
+
+// reluctance weighs the waits at groups that are further away: in a flood all
+// queues are long, and a lease far away leaves its slot idle on the way.
+var reluctance = [...]float64{mustardramp.SameZone: 1, mustardramp.SameRegion: 1.5, mustardramp.AcrossRegions: 3}
+
+// detour is the wait that a nearer group is worth.
+var detour = [...]time.Duration{
+	mustardramp.SameZone:      0,
+	mustardramp.SameRegion:    9 * time.Millisecond,
+	mustardramp.AcrossRegions: 48 * time.Millisecond,
+}
+
+// stated is what a keeper said of the wait in its queue.
+type stated struct {
+	ranks [mustardramp.RankCount]statement
+}
+
+type statement struct {
+	wait atomic.Int64
+	// at is the time in Unix nanoseconds.
+	at atomic.Int64
+}
+
+// note keeps a keeper's word on its queue.
+func (p *Pool) note(id GroupID, rank mustardramp.Rank, wait time.Duration) {
+	value, ok := p.waits.Load(id)
+	if !ok {
+		value, _ = p.waits.LoadOrStore(id, &stated{})
+	}
+	s := &value.(*stated).ranks[rank]
+	s.wait.Store(int64(wait))
+	s.at.Store(p.clock.Now().UnixNano())
+}
+
+// expected returns the wait of a rank at a group, in the present view.
+func (p *Pool) expected(id GroupID, rank mustardramp.Rank, now int64) float64 {
+	value, ok := p.waits.Load(id)
+	if !ok {
+		return 0
+	}
+	s := &value.(*stated).ranks[rank]
+	wait := s.wait.Load()
+	if wait == 0 {
+		return 0
+	}
+	return float64(wait) * math.Exp2(-float64(now-s.at.Load())/float64(fade))
+}
+
+// choose returns the group where the demand is expected to start first, or nil.
+func (p *Pool) choose(demand *mustardramp.Demand, skip map[GroupID]bool) *group {
+	now := p.clock.Now()
+	at := now.UnixNano()
+	var best *group
+	least := math.Inf(1)
+	for _, g := range p.plan.Load().groups {
+		if skip[g.id] || !g.fits(demand) {
+			continue
+		}
+		d := p.config.Pool.Place.To(g.place)
+		cost := p.expected(g.id, demand.Rank, at)*reluctance[d] + float64(detour[d])
+		if cost < least {
+			best, least = g, cost
+		}
+	}
+	if best != nil && !p.mayCross(best, demand, now) {
+		return p.chooseNear(demand, skip)
+	}
+	return best
+}
+
+// chooseNear chooses among the groups of this host's region.
+func (p *Pool) chooseNear(demand *mustardramp.Demand, skip map[GroupID]bool) *group {
+	near := map[GroupID]bool{}
+	for _, g := range p.plan.Load().groups {
+		if p.config.Pool.Place.To(g.place) == mustardramp.AcrossRegions || skip[g.id] {
+			near[g.id] = true
+		}
+	}
+	if len(near) == len(p.plan.Load().groups) {
+		return nil
+	}
+	return p.choose(demand, near)
+}
+
+// mayCross books the bytes of a request that would cross the narrow link.
+func (p *Pool) mayCross(g *group, demand *mustardramp.Demand, now time.Time) bool {
+	if p.config.Pool.Link == nil || p.config.Pool.Place.To(g.place) != mustardramp.AcrossRegions {
+		return true
+	}
+	return p.config.Pool.Link.Allow(demand.Rank, demand.Size, now)
+}
+
+// fits reports whether the group has a backend for the demand.
+func (g *group) fits(demand *mustardramp.Demand) bool {
+	if g.usable > 0 {
+		return true
+	}
+	return demand.Idempotent && demand.Rank == mustardramp.Bulk && len(g.shunned) < len(g.standings)
+}
--- /dev/null
+++ b/internal/lease/desk.go
@@ -0,0 +1,153 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/pool"
+)
+
+// desk grants leases of one group.
+type desk struct {
+	pool *pool.Pool
+
+	mu sync.Mutex
+	// leases holds the asks that wait and the leases that are out.
+	leases map[holding]*issued
+}
+
+// holding names an ask or its lease.
+type holding struct {
+	holder Holder
+	number Number
+}
+
+// issued is one ask or its lease.
+type issued struct {
+	// slot is nil while the ask waits.
+	slot mustardramp.Slot
+	// withdraw ends the wait.
+	withdraw context.CancelFunc
+	// listed is when the holder was last heard to use it.
+	listed time.Time
+}
+
+func newDesk(p *pool.Pool) *desk {
+	return &desk{pool: p, leases: map[holding]*issued{}}
+}
+
+// grant waits for a slot and books the lease.
+func (d *desk) grant(ctx context.Context, now func() time.Time, ask *Ask) (Grant, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	key := holding{holder: ask.Holder, number: ask.Number}
+	entry := &issued{withdraw: cancel, listed: now()}
+	d.mu.Lock()
+	d.leases[key] = entry
+	d.mu.Unlock()
+	slot, err := d.pool.Acquire(ctx, ask.demand(now()))
+	if err != nil {
+		d.forget(key)
+		return d.denied(ask, err)
+	}
+	if !d.book(key, entry, slot, now()) {
+		slot.Release(mustardramp.ResultAbandoned, 0)
+		return Grant{}, context.Canceled
+	}
+	return Grant{Backend: slot.Backend(), Wait: d.pool.Estimate(ask.Rank, ask.Caller)}, nil
+}
+
+func (d *desk) denied(ask *Ask, err error) (Grant, error) {
+	denial, ok := err.(*mustardramp.Denial)
+	if !ok {
+		return Grant{}, err
+	}
+	return Grant{Denial: denial, Wait: d.pool.Estimate(ask.Rank, ask.Caller)}, nil
+}
+
+// book turns an ask into a lease, unless it was withdrawn meanwhile.
+func (d *desk) book(key holding, entry *issued, slot mustardramp.Slot, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leases[key] != entry {
+		return false
+	}
+	entry.slot, entry.listed = slot, now
+	return true
+}
+
+func (d *desk) forget(key holding) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.leases, key)
+}
+
+// take removes an entry, and reports whether it was there.
+func (d *desk) take(key holding) (*issued, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entry, ok := d.leases[key]
+	delete(d.leases, key)
+	return entry, ok
+}
+
+// end finishes a lease or withdraws an ask.
+func (d *desk) end(holder Holder, r Return) {
+	entry, ok := d.take(holding{holder: holder, number: r.Number})
+	if !ok {
+		return
+	}
+	if entry.slot == nil {
+		entry.withdraw()
+		return
+	}
+	entry.slot.Release(r.Result, r.Latency)
+}
+
+// list notes that a holder still uses its leases.
+func (d *desk) list(holder Holder, held []Number, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range held {
+		if entry, ok := d.leases[holding{holder: holder, number: n}]; ok {
+			entry.listed = now
+		}
+	}
+}
+
+// sweep ends the leases that no report has listed for Term.
+func (d *desk) sweep(now time.Time) {
+	for _, entry := range d.stale(now) {
+		if entry.slot == nil {
+			entry.withdraw()
+			continue
+		}
+		entry.slot.Release(mustardramp.ResultAbandoned, 0)
+	}
+}
+
+func (d *desk) stale(now time.Time) []*issued {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var stale []*issued
+	for key, entry := range d.leases {
+		if now.Sub(entry.listed) < Term {
+			continue
+		}
+		delete(d.leases, key)
+		stale = append(stale, entry)
+	}
+	return stale
+}
+
+func (a *Ask) demand(now time.Time) mustardramp.Demand {
+	d := mustardramp.Demand{
+		Rank: a.Rank, Caller: a.Caller, Idempotent: a.Idempotent, Tried: a.Tried, Size: a.Size,
+	}
+	if a.Left > 0 {
+		d.Deadline = now.Add(a.Left)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,315 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/pool"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+var (
+	kolA = mustardramp.Place{Zone: "kol-a", Region: "kolkata"}
+	kolB = mustardramp.Place{Zone: "kol-b", Region: "kolkata"}
+	silA = mustardramp.Place{Zone: "sil-a", Region: "siliguri"}
+)
+
+var errCut = errors.New("the network is cut")
+
+// network connects pools in memory. A call takes a millisecond each way.
+type network struct {
+	mu    sync.Mutex
+	pools map[mustardramp.HostName]*Pool
+	hosts []Host
+	// cut hosts neither get calls nor have theirs answered.
+	cut map[mustardramp.HostName]bool
+}
+
+func (n *network) find(host, from mustardramp.HostName) (*Pool, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[host] || n.cut[from] {
+		return nil, errCut
+	}
+	return n.pools[host], nil
+}
+
+func (n *network) Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Grant, error) {
+	time.Sleep(time.Millisecond)
+	p, err := n.find(host, ask.Holder.Host)
+	if err != nil {
+		return Grant{}, err
+	}
+	grant, err := p.Grant(ctx, ask)
+	time.Sleep(time.Millisecond)
+	return grant, err
+}
+
+func (n *network) Report(_ context.Context, host mustardramp.HostName, report Report) error {
+	time.Sleep(time.Millisecond)
+	p, err := n.find(host, report.Holder.Host)
+	if err != nil {
+		return err
+	}
+	p.Take(report)
+	return nil
+}
+
+func (n *network) sever(host mustardramp.HostName) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[host] = true
+}
+
+func terms() pool.Terms {
+	return pool.Terms{Service: "patha", Ranks: [mustardramp.RankCount]contract.RankTerms{
+		{Wait: time.Second}, {Wait: 2 * time.Second, Share: 30}, {Wait: 10 * time.Second, Share: 15},
+	}}
+}
+
+func standing(n int, place mustardramp.Place, slots mustardramp.Slots) mustardramp.Standing {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(1000+n))
+	return mustardramp.Standing{Weight: 1, Backend: mustardramp.Backend{
+		ID: mustardramp.BackendID("patha/" + address.String()), Service: "patha", Address: address,
+		Place: place, Slots: slots, State: mustardramp.Serving, Incarnation: 1,
+	}}
+}
+
+// newNetwork starts a pool on n hosts in the zones of Kolkata, in turns.
+func newNetwork(n int, standings ...mustardramp.Standing) *network {
+	net := &network{pools: map[mustardramp.HostName]*Pool{}, cut: map[mustardramp.HostName]bool{}}
+	places := []mustardramp.Place{kolA, kolB}
+	for i := range n {
+		net.hosts = append(net.hosts, Host{Name: mustardramp.HostName(fmt.Sprint("host-", i)), Place: places[i%2]})
+	}
+	for _, h := range net.hosts {
+		p := New(Config{
+			Pool:   pool.Config{Terms: terms(), Place: h.Place},
+			Holder: Holder{Host: h.Name, Incarnation: 1}, Peers: net,
+		})
+		p.SetHosts(net.hosts)
+		p.Update(standings)
+		net.pools[h.Name] = p
+	}
+	return net
+}
+
+func (n *network) close() {
+	for _, p := range n.pools {
+		p.Close()
+	}
+}
+
+func bulk() mustardramp.Demand {
+	return mustardramp.Demand{Rank: mustardramp.Bulk, Caller: "clerk", Deadline: time.Now().Add(time.Minute)}
+}
+
+// TestSlotsAreNotExceeded runs all hosts of a fleet against few slots.
+func TestSlotsAreNotExceeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(8, standing(1, kolA, 2), standing(2, kolB, 1))
+		defer net.close()
+		var mu sync.Mutex
+		busy := map[mustardramp.BackendID]int{}
+		served := 0
+		var group errgroup.Group
+		for _, p := range net.pools {
+			group.Go(func() error {
+				for range 10 {
+					slot, err := p.Acquire(t.Context(), bulk())
+					if err != nil {
+						return err
+					}
+					b := slot.Backend()
+					mu.Lock()
+					busy[b.ID]++
+					if got, want := busy[b.ID], int(b.Slots); got > want {
+						t.Errorf("got %d attempts at %s, want at most %d", got, b.ID, want)
+					}
+					mu.Unlock()
+					time.Sleep(20 * time.Millisecond)
+					mu.Lock()
+					busy[b.ID]--
+					served++
+					mu.Unlock()
+					slot.Release(mustardramp.ResultGood, 20*time.Millisecond)
+				}
+				return nil
+			})
+		}
+		if err := group.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := served, 80; got != want {
+			t.Errorf("got %d served, want %d", got, want)
+		}
+	})
+}
+
+// asker returns a host that does not keep the only group, and its keeper.
+func asker(n *network) (*Pool, mustardramp.HostName) {
+	for name, p := range n.pools {
+		if keeper := p.plan.Load().groups[0].keepers[0]; keeper != name {
+			return p, keeper
+		}
+	}
+	return nil, ""
+}
+
+func TestUnreachableKeeperIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(6, standing(1, kolA, 1))
+		defer net.close()
+		p, keeper := asker(net)
+		net.sever(keeper)
+		slot, err := p.Acquire(t.Context(), bulk())
+		if err != nil {
+			t.Fatal(err)
+		}
+		slot.Release(mustardramp.ResultGood, time.Millisecond)
+	})
+}
+
+func TestIsolatedHostServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(6, standing(1, kolA, 1))
+		defer net.close()
+		p, _ := asker(net)
+		net.sever(p.config.Holder.Host)
+		slot, err := p.Acquire(t.Context(), bulk())
+		if err != nil {
+			t.Fatal(err)
+		}
+		slot.Release(mustardramp.ResultGood, time.Millisecond)
+	})
+}
+
+func TestLeaseOfLostHolderEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(6, standing(1, kolA, 1))
+		defer net.close()
+		p, keeper := asker(net)
+		if _, err := p.Acquire(t.Context(), bulk()); err != nil {
+			t.Fatal(err)
+		}
+		net.sever(p.config.Holder.Host)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if slot, err := net.pools[keeper].Acquire(ctx, bulk()); err == nil {
+			t.Fatalf("got a second lease %v of the only slot", slot)
+		}
+		time.Sleep(Term + StepInterval)
+		net.pools[keeper].Step(t.Context())
+		slot, err := net.pools[keeper].Acquire(t.Context(), bulk())
+		if err != nil {
+			t.Fatalf("got %v, want the slot of the lost holder", err)
+		}
+		slot.Release(mustardramp.ResultGood, time.Millisecond)
+	})
+}
+
+func TestListedLeaseLasts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(6, standing(1, kolA, 1))
+		defer net.close()
+		p, keeper := asker(net)
+		slot, err := p.Acquire(t.Context(), bulk())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 3 * Term / StepInterval {
+			time.Sleep(StepInterval)
+			p.Step(t.Context())
+			net.pools[keeper].Step(t.Context())
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if _, err := net.pools[keeper].Acquire(ctx, bulk()); err == nil {
+			t.Error("got a second lease of the only slot while the first is in use")
+		}
+		slot.Release(mustardramp.ResultGood, time.Minute)
+	})
+}
+
+func TestCallerThatLeavesWithdraws(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(6, standing(1, kolA, 1))
+		defer net.close()
+		p, _ := asker(net)
+		first, err := p.Acquire(t.Context(), bulk())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if _, err := p.Acquire(ctx, bulk()); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v, want the context's error", err)
+		}
+		first.Release(mustardramp.ResultGood, time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+		slot, err := p.Acquire(t.Context(), bulk())
+		if err != nil {
+			t.Fatalf("got %v, want the slot: the second ask was withdrawn", err)
+		}
+		slot.Release(mustardramp.ResultGood, time.Millisecond)
+	})
+}
+
+func TestDenialNamesTheKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(6, standing(1, kolA, 1))
+		defer net.close()
+		p, keeper := asker(net)
+		first, err := p.Acquire(t.Context(), bulk())
+		if err != nil {
+			t.Fatal(err)
+		}
+		d := bulk()
+		d.Rank = mustardramp.Urgent
+		_, err = p.Acquire(t.Context(), d)
+		var denial *mustardramp.Denial
+		if !errors.As(err, &denial) || denial.Kind != mustardramp.KindDeadline {
+			t.Fatalf("got %v, want a denial for the deadline", err)
+		}
+		if got := denial.Facts[len(denial.Facts)-1]; got.Name != "keeper" || got.Value != string(keeper) {
+			t.Errorf("got fact %v, want keeper=%s", got, keeper)
+		}
+		first.Release(mustardramp.ResultGood, time.Millisecond)
+	})
+}
+
+func TestPlanMovesOnlyWhatALostHostKept(t *testing.T) {
+	var hosts []Host
+	for i := range 40 {
+		hosts = append(hosts, Host{Name: mustardramp.HostName(fmt.Sprint("host-", i)), Place: []mustardramp.Place{kolA, kolB, silA}[i%3]})
+	}
+	var standings []mustardramp.Standing
+	for i := range 500 {
+		standings = append(standings, standing(i, []mustardramp.Place{kolA, kolB, silA}[i%3], 6))
+	}
+	before := divide("patha", standings, hosts)
+	after := divide("patha", standings, hosts[1:])
+	for _, g := range before.groups {
+		got, was := after.byID[g.id].keepers[0], g.keepers[0]
+		if was != hosts[0].Name && got != was {
+			t.Errorf("group %v moved from %s to %s, which was not lost", g.id, was, got)
+		}
+		if len(g.standings) > 2*groupSize {
+			t.Errorf("group %v has %d backends, want about %d", g.id, len(g.standings), groupSize)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lease/pool.go
@@ -0,0 +1,348 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/pool"
+)
+
+// Config describes a Pool. Without Peers the host keeps all groups itself.
+type Config struct {
+	// Pool holds the terms of the service and the place of this host. Its
+	// Strategy defaults to pool.LeastFilled, since a keeper knows all that
+	// its backends have in flight.
+	Pool   pool.Config
+	Holder Holder
+	Peers  Peers
+}
+
+// Pool gives out the slots of one service's backends together with the pools
+// of the other hosts. It implements mustardramp.Pool.
+type Pool struct {
+	config Config
+	clock  mustardramp.Clock
+	plan   atomic.Pointer[plan]
+	next   atomic.Uint64
+	// waits holds what keepers said of their queues, by group.
+	waits sync.Map
+	// peers holds the state of each keeper, by host.
+	peers sync.Map
+	// desks holds the desks by group.
+	desks sync.Map
+	group errgroup.Group
+
+	mu        sync.Mutex
+	terms     pool.Terms
+	standings []mustardramp.Standing
+	hosts     []Host
+}
+
+var _ mustardramp.Pool = (*Pool)(nil)
+
+// New returns a pool without backends; Update brings them.
+func New(config Config) *Pool {
+	if config.Pool.Strategy == nil {
+		config.Pool.Strategy = pool.LeastFilled{}
+	}
+	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms}
+	if p.clock == nil {
+		p.clock = mustardramp.SystemClock{}
+	}
+	p.plan.Store(&plan{})
+	return p
+}
+
+// Configure replaces the terms, as after a new revision of the contract.
+func (p *Pool) Configure(terms pool.Terms) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.terms = terms
+	for _, d := range p.allDesks() {
+		d.pool.Configure(terms)
+	}
+}
+
+// Update implements mustardramp.Pool.
+func (p *Pool) Update(standings []mustardramp.Standing) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.standings = standings
+	p.divide()
+}
+
+// SetHosts replaces the list of entry hosts that are alive. This host belongs
+// to it.
+func (p *Pool) SetHosts(hosts []Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = hosts
+	p.divide()
+}
+
+func (p *Pool) divide() {
+	next := divide(p.terms.Service, p.standings, p.hosts)
+	p.plan.Store(next)
+	p.desks.Range(func(id, d any) bool {
+		var standings []mustardramp.Standing
+		if g := next.byID[id.(GroupID)]; g != nil {
+			standings = g.standings
+		}
+		d.(*desk).pool.Update(standings)
+		return true
+	})
+}
+
+// Acquire implements mustardramp.Pool.
+func (p *Pool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
+	skip := map[GroupID]bool(nil)
+	var last error
+	for range len(p.plan.Load().groups) {
+		g := p.choose(&demand, skip)
+		if g == nil {
+			break
+		}
+		slot, err := p.acquire(ctx, g, &demand)
+		if err == nil || !elsewhere(err) {
+			return slot, err
+		}
+		last = err
+		if skip == nil {
+			skip = map[GroupID]bool{}
+		}
+		skip[g.id] = true
+	}
+	if last == nil {
+		last = p.nowhere(&demand)
+	}
+	return nil, last
+}
+
+// elsewhere reports whether another group may have what this one lacks.
+func elsewhere(err error) bool {
+	denial, ok := err.(*mustardramp.Denial)
+	return ok && denial.Kind == mustardramp.KindNoBackend
+}
+
+// nowhere explains that no group takes the demand.
+func (p *Pool) nowhere(demand *mustardramp.Demand) *mustardramp.Denial {
+	plan := p.plan.Load()
+	for _, g := range plan.groups {
+		if g.fits(demand) {
+			return linkFull(demand)
+		}
+	}
+	return &mustardramp.Denial{
+		Kind:       mustardramp.KindNoBackend,
+		Reason:     "None of the known backends of the service may take the request now.",
+		Facts:      []mustardramp.Fact{fact("known", plan.known)},
+		RetryAfter: time.Second,
+	}
+}
+
+func linkFull(demand *mustardramp.Demand) *mustardramp.Denial {
+	return &mustardramp.Denial{
+		Kind:       mustardramp.KindLink,
+		Reason:     "The usable backends are in another region, and the rank has used its share of the link to it.",
+		Facts:      []mustardramp.Fact{{Name: "rank", Value: demand.Rank.String()}},
+		RetryAfter: time.Second,
+	}
+}
+
+// acquire asks the keepers of a group one after the other, and keeps the group
+// itself when none of them answers.
+func (p *Pool) acquire(ctx context.Context, g *group, demand *mustardramp.Demand) (mustardramp.Slot, error) {
+	for _, host := range g.keepers {
+		if p.config.Peers == nil || host == p.config.Holder.Host {
+			break
+		}
+		peer := p.peer(host)
+		if !peer.open(p.clock.Now()) {
+			continue
+		}
+		slot, err := p.ask(ctx, peer, g, demand)
+		if err == nil || ctx.Err() != nil {
+			return slot, err
+		}
+		if denial, ok := err.(*mustardramp.Denial); ok {
+			return nil, denial
+		}
+		peer.fail(p.clock.Now())
+	}
+	return p.own(ctx, g, demand)
+}
+
+// own takes a slot from this host's own desk.
+func (p *Pool) own(ctx context.Context, g *group, demand *mustardramp.Demand) (mustardramp.Slot, error) {
+	d := p.desk(g.id)
+	local := *demand
+	local.Tried = append(g.shunned[:len(g.shunned):len(g.shunned)], demand.Tried...)
+	held, err := d.pool.Acquire(ctx, local)
+	p.note(g.id, demand.Rank, d.pool.Estimate(demand.Rank, demand.Caller))
+	if err != nil {
+		return nil, err
+	}
+	return &ownSlot{Slot: held, pool: p, rank: demand.Rank}, nil
+}
+
+// ask takes a lease from a peer.
+func (p *Pool) ask(ctx context.Context, peer *peer, g *group, demand *mustardramp.Demand) (mustardramp.Slot, error) {
+	ask := p.newAsk(g, demand)
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	peer.begin(ask.Number, cancel)
+	grant, err := p.config.Peers.Ask(call, peer.name, ask)
+	if err != nil {
+		// The keeper may grant it yet.
+		p.giveBack(peer, Return{Number: ask.Number, Result: mustardramp.ResultAbandoned})
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		return nil, err
+	}
+	p.note(g.id, demand.Rank, grant.Wait)
+	if grant.Denial != nil {
+		peer.drop(ask.Number)
+		denial := *grant.Denial
+		denial.Facts = append(denial.Facts[:len(denial.Facts):len(denial.Facts)],
+			mustardramp.Fact{Name: "keeper", Value: string(peer.name)})
+		return nil, &denial
+	}
+	return &slot{pool: p, peer: peer, number: ask.Number, backend: grant.Backend, rank: demand.Rank}, nil
+}
+
+func (p *Pool) newAsk(g *group, demand *mustardramp.Demand) Ask {
+	ask := Ask{
+		Service: p.config.Pool.Terms.Service, Group: g.id,
+		Holder: p.config.Holder, Number: Number(p.next.Add(1)),
+		Rank: demand.Rank, Caller: demand.Caller, Idempotent: demand.Idempotent,
+		Tried: append(g.shunned[:len(g.shunned):len(g.shunned)], demand.Tried...), Size: demand.Size,
+	}
+	if !demand.Deadline.IsZero() {
+		ask.Left = max(demand.Deadline.Sub(p.clock.Now()), time.Nanosecond)
+	}
+	return ask
+}
+
+// giveBack ends a lease; reports are sent outside the path of requests.
+func (p *Pool) giveBack(peer *peer, r Return) {
+	if !peer.end(r) {
+		return
+	}
+	p.group.Go(func() error {
+		for {
+			returns, ok := peer.next()
+			if !ok {
+				return nil
+			}
+			p.report(context.Background(), peer, Report{Returns: returns})
+		}
+	})
+}
+
+func (p *Pool) report(ctx context.Context, peer *peer, report Report) {
+	report.Service, report.Holder = p.config.Pool.Terms.Service, p.config.Holder
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	if err := p.config.Peers.Report(ctx, peer.name, report); err != nil {
+		peer.fail(p.clock.Now())
+	}
+}
+
+const (
+	// reportTime bounds one report.
+	reportTime = time.Second
+	// StepInterval is how often Step is to be called.
+	StepInterval = time.Second
+)
+
+// Step reports the leases in use to their keepers and ends the leases whose
+// holders have gone. It is called every StepInterval by one goroutine.
+func (p *Pool) Step(ctx context.Context) {
+	now := p.clock.Now()
+	for _, d := range p.allDesks() {
+		d.sweep(now)
+	}
+	var group errgroup.Group
+	p.peers.Range(func(_, value any) bool {
+		peer := value.(*peer)
+		held := peer.inUse()
+		if len(held) == 0 {
+			return true
+		}
+		group.Go(func() error {
+			p.report(ctx, peer, Report{Held: held})
+			return nil
+		})
+		return true
+	})
+	_ = group.Wait()
+}
+
+// Close waits until the last returns were sent.
+func (p *Pool) Close() {
+	_ = p.group.Wait()
+}
+
+// Grant answers the ask of another host.
+func (p *Pool) Grant(ctx context.Context, ask Ask) (Grant, error) {
+	return p.desk(ask.Group).grant(ctx, p.clock.Now, &ask)
+}
+
+// Take takes in the report of another host.
+func (p *Pool) Take(report Report) {
+	now := p.clock.Now()
+	for _, d := range p.allDesks() {
+		for _, r := range report.Returns {
+			d.end(report.Holder, r)
+		}
+		d.list(report.Holder, report.Held, now)
+	}
+}
+
+// desk returns the desk of a group, which it makes when it is first asked for.
+func (p *Pool) desk(id GroupID) *desk {
+	if d, ok := p.desks.Load(id); ok {
+		return d.(*desk)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if d, ok := p.desks.Load(id); ok {
+		return d.(*desk)
+	}
+	config := p.config.Pool
+	config.Terms = p.terms
+	config.Link, config.Results = nil, nil
+	g := p.plan.Load().byID[id]
+	if g != nil {
+		config.Place = g.place
+	}
+	d := newDesk(pool.New(config))
+	if g != nil {
+		d.pool.Update(g.standings)
+	}
+	p.desks.Store(id, d)
+	return d
+}
+
+func (p *Pool) allDesks() []*desk {
+	var all []*desk
+	p.desks.Range(func(_, d any) bool {
+		all = append(all, d.(*desk))
+		return true
+	})
+	return all
+}
+
+func (p *Pool) peer(host mustardramp.HostName) *peer {
+	if known, ok := p.peers.Load(host); ok {
+		return known.(*peer)
+	}
+	known, _ := p.peers.LoadOrStore(host, &peer{name: host})
+	return known.(*peer)
+}
