Add the ejector

Cause: backends fail in part while they answer health checks. Change: a CUSUM test per backend, kind and scope against the present level of the peers; thresholds follow from the accepted rate of false ejections. Ejection keeps the floor in each host's view, and claims that are known two spreads ahead keep it over the hosts together. Hold, trial, ramp.

--- /dev/null
+++ b/internal/ejection/cusum.go
@@ -0,0 +1,92 @@
+package ejection
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// tolerance is by how much a healthy backend's share of bad outcomes may
+	// exceed that of its peers, as a factor.
+	tolerance = 1.5
+	// daySeconds is the length of a day in seconds.
+	daySeconds = 24 * 60 * 60
+	// tests is the number of tests that run on each outcome: two kinds in
+	// three scopes.
+	tests = int(kindCount) * int(scopeCount)
+	// tick is the span over which the growth of a test is bounded.
+	tick = 100 * time.Millisecond
+	// minRate is the least number of outcomes a second on which a threshold
+	// is based.
+	minRate = 1.0
+)
+
+// kind is a kind of bad outcome.
+type kind int
+
+const (
+	failing kind = iota
+	slowing
+	kindCount
+)
+
+var kindNames = [kindCount]string{"fail", "are slow"}
+
+// shape holds the constants of the test for one kind of bad outcome.
+type shape struct {
+	// margin is added to the share that a healthy backend may show.
+	margin float64
+	// step is the part of the remaining share by which an ill backend exceeds
+	// a healthy one.
+	step float64
+	// growth is the most by which one tick moves the statistic up. It makes a
+	// short burst of bad outcomes too little to eject.
+	growth float64
+}
+
+var shapes = [kindCount]shape{
+	failing: {margin: 0.005, step: 0.25, growth: 5},
+	slowing: {margin: 0.01, step: 0.4, growth: 2},
+}
+
+// hypothesis is a pair of shares of bad outcomes: of a healthy backend and of
+// an ill one.
+type hypothesis struct {
+	healthy float64
+	ill     float64
+}
+
+// against returns the hypothesis that follows from the peers' share of bad
+// outcomes.
+func against(k kind, peers float64) hypothesis {
+	s := shapes[k]
+	healthy := min(tolerance*peers+s.margin, 0.95)
+	return hypothesis{healthy: healthy, ill: healthy + s.step*(1-healthy)}
+}
+
+// evidence returns the log-likelihood ratio of ill to healthy.
+func (h hypothesis) evidence(n, bad float64) float64 {
+	return bad*math.Log(h.ill/h.healthy) + (n-bad)*math.Log((1-h.ill)/(1-h.healthy))
+}
+
+// cusum is Page's cumulative sum test of one backend. Its mean time to a false
+// alarm is at least exp(threshold) outcomes.
+type cusum struct {
+	sum float64
+}
+
+// add takes in the outcomes of a span of time.
+func (c *cusum) add(k kind, h hypothesis, n, bad float64, span time.Duration) {
+	if n == 0 {
+		return
+	}
+	most := shapes[k].growth * max(1, span.Seconds()/tick.Seconds())
+	c.sum = max(0, c.sum+min(h.evidence(n, bad), most))
+}
+
+// threshold returns the sum at which a test alarms, so that all tests together
+// alarm falsely at most at the accepted rate for a backend and day.
+func threshold(caution, rate float64) float64 {
+	outcomes := max(rate, minRate) * daySeconds
+	return math.Log(float64(tests) * outcomes / max(caution, 1e-9))
+}
--- /dev/null
+++ b/internal/ejection/ejection.go
@@ -0,0 +1,154 @@
+// Package ejection decides which backends receive work, from the outcomes of
+// real work at all hosts. It ejects a backend that is ill against the present
+// level of its service, never below the service's floor, and lets it return
+// by trial.
+package ejection
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/evidence"
+	"github.com/mustardramp/mustardramp/internal/roster"
+)
+
+// Terms are the settings of a service that ejection follows.
+type Terms struct {
+	// Floor is the share of the serving slots that ejection leaves.
+	Floor mustardramp.Percent
+	// Caution is the accepted rate of false ejections per backend and day.
+	Caution float64
+}
+
+// defaultTerms are those of a service whose contract is not known.
+var defaultTerms = Terms{Floor: 70, Caution: 0.1}
+
+// DefaultSpread is the time in which a report is expected at every host.
+const DefaultSpread = 200 * time.Millisecond
+
+// Ejector implements mustardramp.Ejector. Its zero value works. The exported
+// fields are set before the first call.
+type Ejector struct {
+	// Host names this host, and Incarnation counts its starts.
+	Host        mustardramp.HostName
+	Incarnation mustardramp.Incarnation
+	// Place is where this host runs.
+	Place mustardramp.Place
+	// Terms returns a service's settings; nil stands for defaults.
+	Terms func(mustardramp.ServiceName) Terms
+	// Left is called, on the request path, when a backend answered that it is
+	// leaving; nil does nothing.
+	Left func(mustardramp.Observation)
+	// Spread is the time in which a report reaches every host; 0 stands for
+	// DefaultSpread. A new ejection is made known two spreads before.
+	Spread time.Duration
+
+	once  sync.Once
+	tally evidence.Tally
+
+	// mu guards what follows.
+	mu       sync.Mutex
+	fleet    evidence.Fleet
+	services map[mustardramp.ServiceName]*service
+	members  map[mustardramp.BackendID]*member
+	sequence uint64
+}
+
+var _ mustardramp.Ejector = (*Ejector)(nil)
+
+// New returns the ejector of a host.
+func New(host mustardramp.HostName, incarnation mustardramp.Incarnation, place mustardramp.Place) *Ejector {
+	return &Ejector{Host: host, Incarnation: incarnation, Place: place}
+}
+
+// Observe takes in one outcome.
+func (e *Ejector) Observe(o mustardramp.Observation) {
+	e.tally.Observe(o)
+	if o.Result == mustardramp.ResultLeaving && e.Left != nil {
+		e.Left(o)
+	}
+}
+
+// Step takes in the present roster of a service and returns the decided
+// standings, in the order of the roster.
+func (e *Ejector) Step(now time.Time, name mustardramp.ServiceName, backends []mustardramp.Backend) []mustardramp.Standing {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.init()
+	e.tally.Prepare(now, name, backends)
+	s := e.service(name)
+	terms := e.terms(name)
+	s.sync(now, backends, e.members, func(id mustardramp.BackendID) time.Time { return e.tally.Leaving(name, id) })
+	s.gather(now, &e.tally, e.fleet.Take(name), e.Place.Zone)
+	s.judge(terms)
+	s.advance(now, s.limit(terms))
+	s.settle(now, terms, e.fleet.Voices(now, name, 2*e.spread()), 2*e.spread())
+	return s.standings(now, terms)
+}
+
+// Merge takes in a report of another host.
+func (e *Ejector) Merge(now time.Time, record mustardramp.Record) error {
+	if record.Key == string(e.Host) {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fleet.Merge(now, record)
+}
+
+// Work says when real work last ended at a backend, anywhere in the fleet.
+func (e *Ejector) Work(id mustardramp.BackendID) roster.Work {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if m := e.members[id]; m != nil {
+		return m.work
+	}
+	return roster.Work{}
+}
+
+// Report returns this host's evidence and decisions to pass on.
+func (e *Ejector) Report(now time.Time) (mustardramp.Record, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := evidence.Report{Place: e.Place}
+	for _, name := range slices.Sorted(maps.Keys(e.services)) {
+		report.Services = append(report.Services, e.services[name].report(now))
+	}
+	e.sequence++
+	version := mustardramp.Version{Epoch: uint64(e.Incarnation), Sequence: e.sequence}
+	return report.Record(e.Host, version)
+}
+
+func (e *Ejector) init() {
+	e.once.Do(func() {
+		e.tally.Place = e.Place
+		e.services = map[mustardramp.ServiceName]*service{}
+		e.members = map[mustardramp.BackendID]*member{}
+	})
+}
+
+func (e *Ejector) service(name mustardramp.ServiceName) *service {
+	s := e.services[name]
+	if s == nil {
+		s = &service{name: name}
+		e.services[name] = s
+	}
+	return s
+}
+
+func (e *Ejector) terms(name mustardramp.ServiceName) Terms {
+	if e.Terms == nil {
+		return defaultTerms
+	}
+	return e.Terms(name)
+}
+
+func (e *Ejector) spread() time.Duration {
+	if e.Spread == 0 {
+		return DefaultSpread
+	}
+	return e.Spread
+}
--- /dev/null
+++ b/internal/ejection/judge.go
@@ -0,0 +1,158 @@
+package ejection
+
+import (
+	"fmt"
+
+	"github.com/mustardramp/mustardramp/internal/evidence"
+)
+
+const (
+	// wishPart is the part of the threshold at which a wish to eject is made
+	// known.
+	wishPart = 0.25
+	// dropPart is the part of the threshold below which a wish is withdrawn.
+	dropPart = 0.125
+	// ceiling bounds a test's statistic, as a factor of the threshold, so that
+	// a backend that recovers is not ejected long after.
+	ceiling = 1.2
+	// totalShare is the share of bad outcomes above which an illness is total.
+	totalShare = 0.6
+	// baseline is the share of bad outcomes that stands in for a service
+	// without outcomes.
+	baseline = 0.01
+	// otherOutcomes is the fewest outcomes of other zones that can show that a
+	// fault is one of the path.
+	otherOutcomes = 4
+)
+
+// judge runs the tests of all members on the outcomes of the step.
+func (s *service) judge(terms Terms) {
+	limit := s.limit(terms)
+	trim := s.trim(terms)
+	for scope := range scopeCount {
+		for k := range kindCount {
+			s.compare(scope, k, trim)
+			s.test(scope, k, limit)
+		}
+	}
+}
+
+// trim is how many of the worst peers are left out of the level: as many as
+// could be ejected, but fewer than half.
+func (s *service) trim(terms Terms) int {
+	n := len(s.members)
+	spare := int((100 - terms.Floor).Of(float64(n)))
+	return max(0, min(spare, (n-1)/2))
+}
+
+// compare computes the present level of each member's peers. A sudden change
+// of the whole service shows in the fast level first, so the higher counts.
+func (s *service) compare(sc scope, k kind, trim int) {
+	s.levels.trim = trim
+	s.samples = s.samples[:0]
+	s.priors = s.priors[:0]
+	for _, m := range s.members {
+		s.samples = append(s.samples, m.scopes[sc].windows.steady)
+		s.priors = append(s.priors, s.wider(sc, k))
+	}
+	steady := s.levels.peers(k, s.samples, s.priors)
+	for i, m := range s.members {
+		s.samples[i] = m.scopes[sc].windows.fast
+	}
+	fast := s.levels.peers(k, s.samples, steady)
+	for i, m := range s.members {
+		m.scopes[sc].peers[k] = max(steady[i], fast[i])
+	}
+}
+
+// wider returns the level that stands in for a scope with few outcomes.
+func (s *service) wider(sc scope, k kind) float64 {
+	if sc == fleetScope {
+		return baseline
+	}
+	all := s.level[fleetScope].steady
+	return all.share(k, baseline)
+}
+
+func (s *service) test(sc scope, k kind, limit float64) {
+	for i, m := range s.members {
+		if m.out() || !m.serving() {
+			continue
+		}
+		outcomes := s.reach[sc][i]
+		v := &m.scopes[sc]
+		v.tests[k].add(k, against(k, v.peers[k]), outcomes.n, outcomes.bad[k], s.span)
+		v.tests[k].sum = min(v.tests[k].sum, ceiling*limit)
+	}
+}
+
+// alarm says why a backend should be ejected.
+type alarm struct {
+	raised bool
+	// local is true when only this host's or zone's path is bad.
+	local bool
+	cause string
+}
+
+// alarm returns the most weighty alarm of a member's tests.
+func (s *service) alarm(m *member, limit float64) alarm {
+	for k := range kindCount {
+		if m.scopes[fleetScope].tests[k].sum >= limit && !s.pathOnly(m, k) {
+			return alarm{raised: true, cause: m.describe(fleetScope, k)}
+		}
+	}
+	for _, sc := range []scope{zoneScope, hostScope} {
+		for k := range kindCount {
+			if m.scopes[sc].tests[k].sum >= limit {
+				return alarm{raised: true, local: true, cause: m.describe(sc, k)}
+			}
+		}
+	}
+	return alarm{}
+}
+
+// pathOnly reports whether the hosts of one zone alone see the illness, while
+// those of the others see a healthy backend.
+func (s *service) pathOnly(m *member, k kind) bool {
+	h := against(k, m.scopes[fleetScope].peers[k])
+	var seeing int
+	var others sample
+	for _, zone := range m.zones {
+		if h.evidence(zone.n, zone.bad[k]) > 0 {
+			seeing++
+			continue
+		}
+		others.add(*zone)
+	}
+	if seeing != 1 || others.n < otherOutcomes {
+		return false
+	}
+	return h.evidence(others.n, others.bad[k]) < 0
+}
+
+var scopeNames = [scopeCount]string{"at this host", "in this zone", "in the fleet"}
+
+// describe says what a test saw.
+func (m *member) describe(sc scope, k kind) string {
+	v := &m.scopes[sc]
+	return fmt.Sprintf("%.0f %% of requests %s %s, %.0f %% at its peers",
+		100*v.windows.fast.share(k, v.peers[k]), kindNames[k], scopeNames[sc], 100*v.peers[k])
+}
+
+// illness returns the largest statistic of the tests over the whole fleet.
+func (m *member) illness() float64 {
+	v := &m.scopes[fleetScope]
+	return max(v.tests[failing].sum, v.tests[slowing].sum)
+}
+
+// grading returns how ill the backend appears now.
+func (m *member) grading() evidence.Grade {
+	v := &m.scopes[fleetScope]
+	w := &v.windows.fast
+	for k := range kindCount {
+		if w.share(k, v.peers[k]) >= totalShare {
+			return evidence.Total
+		}
+	}
+	return evidence.Partial
+}
--- /dev/null
+++ b/internal/ejection/service.go
@@ -0,0 +1,256 @@
+package ejection
+
+import (
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/evidence"
+)
+
+// service is what this host knows and decides of one service.
+type service struct {
+	name mustardramp.ServiceName
+	// members are in the order of the roster of the last step.
+	members []*member
+	byID    map[mustardramp.BackendID]*member
+	// begun is true after the first step. Backends of the first roster were
+	// there before this host and are not cold.
+	begun bool
+	// stepped is the time of the last step, and span the time before it.
+	stepped time.Time
+	span    time.Duration
+	// rate is the smoothed number of outcomes a second at one backend.
+	rate float64
+	// reach collects the outcomes of this step by scope, in the order of
+	// members.
+	reach [scopeCount][]sample
+	// level holds the recent outcomes of the service by scope.
+	level [scopeCount]windows
+
+	levels  levels
+	samples []sample
+	priors  []float64
+}
+
+// maxSpan bounds the time that one step stands for.
+const maxSpan = time.Second
+
+// sync takes in the roster.
+func (s *service) sync(now time.Time, backends []mustardramp.Backend, index map[mustardramp.BackendID]*member, left func(mustardramp.BackendID) time.Time) {
+	s.span = min(now.Sub(s.stepped), maxSpan)
+	s.stepped = now
+	old := s.byID
+	s.byID = make(map[mustardramp.BackendID]*member, len(backends))
+	s.members = s.members[:0]
+	for _, b := range backends {
+		m := old[b.ID]
+		if m == nil {
+			m = newMember(now, b)
+			s.admit(now, m)
+		}
+		s.update(now, m, b)
+		m.left = m.left || left(b.ID).After(m.since)
+		if m.left && m.backend.State < mustardramp.Leaving {
+			m.backend.State = mustardramp.Leaving
+		}
+		s.byID[b.ID] = m
+		index[b.ID] = m
+		s.members = append(s.members, m)
+	}
+	for id := range old {
+		if s.byID[id] == nil {
+			delete(index, id)
+		}
+	}
+	s.begun = true
+}
+
+// admit sets the phase of a backend that this host has not known.
+func (s *service) admit(now time.Time, m *member) {
+	if s.begun {
+		m.readmit(now, ramping, "ramps up after its start")
+	}
+}
+
+// update takes in a backend's newest statement. A new incarnation starts cold,
+// but earlier ejections still lengthen the next hold.
+func (s *service) update(now time.Time, m *member, b mustardramp.Backend) {
+	old := m.backend
+	m.backend = b
+	restarted := b.Incarnation != old.Incarnation
+	started := old.State == mustardramp.Starting && m.serving()
+	if restarted {
+		m.since = now
+		m.left = false
+		m.resetTests(0)
+	}
+	if restarted || started {
+		m.readmit(now, ramping, "ramps up after its start")
+	}
+}
+
+// gather takes in the outcomes since the last step: this host's own and those
+// that other hosts reported.
+func (s *service) gather(now time.Time, tally *evidence.Tally, news map[evidence.Origin]evidence.Counts, own mustardramp.Zone) {
+	for i := range s.reach {
+		s.reach[i] = append(s.reach[i][:0], make([]sample, len(s.members))...)
+	}
+	places := make(map[evidence.Handle]int, len(s.members))
+	for i, m := range s.members {
+		places[m.handle] = i
+		s.gatherOwn(now, i, tally, own)
+	}
+	for origin, counts := range news {
+		i, ok := places[origin.Backend]
+		if !ok {
+			continue
+		}
+		outcomes := sampleOf(counts)
+		s.reach[fleetScope][i].add(outcomes)
+		if origin.Zone == own {
+			s.reach[zoneScope][i].add(outcomes)
+		}
+		m := s.members[i]
+		m.zone(origin.Zone).add(outcomes)
+		m.note(now, counts)
+	}
+	s.window()
+}
+
+func (s *service) gatherOwn(now time.Time, i int, tally *evidence.Tally, own mustardramp.Zone) {
+	m := s.members[i]
+	fade := decay(s.span, zoneSpan)
+	for _, zone := range m.zones {
+		zone.scale(fade)
+	}
+	totals := tally.Counts(s.name, m.backend.ID)
+	counts, ok := totals.Minus(m.totals)
+	m.totals = totals
+	if !ok || counts.Done == 0 {
+		return
+	}
+	m.changed = now
+	outcomes := sampleOf(counts)
+	for scope := range s.reach {
+		s.reach[scope][i].add(outcomes)
+	}
+	m.zone(own).add(outcomes)
+	m.note(now, counts)
+}
+
+func (m *member) zone(name mustardramp.Zone) *sample {
+	z := m.zones[name]
+	if z == nil {
+		z = &sample{}
+		m.zones[name] = z
+	}
+	return z
+}
+
+// note remembers when work last ended well and badly.
+func (m *member) note(now time.Time, counts evidence.Counts) {
+	if counts.Done > counts.Failed {
+		m.work.Good = now
+	}
+	if counts.Failed > 0 {
+		m.work.Bad = now
+	}
+}
+
+// window adds the outcomes of the step to the recent ones.
+func (s *service) window() {
+	var total float64
+	for scope := range s.reach {
+		var all sample
+		for i, m := range s.members {
+			outcomes := s.reach[scope][i]
+			m.scopes[scope].windows.add(s.span, outcomes)
+			all.add(outcomes)
+		}
+		s.level[scope].add(s.span, all)
+		total = all.n
+	}
+	for i, m := range s.members {
+		if m.phase == tried {
+			m.trial.add(s.reach[m.trialScope()][i])
+		}
+	}
+	if len(s.members) == 0 || s.span <= 0 {
+		return
+	}
+	now := total / s.span.Seconds() / float64(len(s.members))
+	keep := decay(s.span, rateSpan)
+	s.rate = keep*s.rate + (1-keep)*now
+}
+
+// limit returns the threshold of the service's tests.
+func (s *service) limit(terms Terms) float64 {
+	return threshold(terms.Caution, s.rate)
+}
+
+// advance moves the members on.
+func (s *service) advance(now time.Time, limit float64) {
+	for _, m := range s.members {
+		m.advance(now, limit)
+	}
+}
+
+// standings returns the decisions in the order of the roster.
+func (s *service) standings(now time.Time, terms Terms) []mustardramp.Standing {
+	out := make([]mustardramp.Standing, len(s.members))
+	lift := s.lift(now, terms.Floor)
+	for i, m := range s.members {
+		st := mustardramp.Standing{Backend: m.backend, Cause: m.cause}
+		switch {
+		case !m.serving():
+			st.Cause = m.backend.State.String()
+		case m.out():
+			st.Ejected = !m.local
+			st.Avoided = m.local
+			st.Trial = m.phase == tried
+		default:
+			w := m.weight(now)
+			st.Weight = w + (1-w)*lift
+		}
+		out[i] = st
+	}
+	return out
+}
+
+// lift returns the part of the way from its own weight to 1 that each ramping
+// backend is moved, so that ramps do not take the weighted capacity below the
+// floor.
+func (s *service) lift(now time.Time, floor mustardramp.Percent) float64 {
+	var ready, missing float64
+	for _, m := range s.members {
+		if !m.serving() || m.out() {
+			continue
+		}
+		w := m.weight(now)
+		slots := float64(m.backend.Slots)
+		ready += w * slots
+		missing += (1 - w) * slots
+	}
+	need := floor.Of(float64(s.capacity()))
+	if ready >= need || missing == 0 {
+		return 0
+	}
+	return min(1, (need-ready)/missing)
+}
+
+// report returns this host's part of the evidence and its decisions.
+func (s *service) report(now time.Time) evidence.ServiceReport {
+	r := evidence.ServiceReport{Service: s.name}
+	for _, m := range s.members {
+		if !m.changed.IsZero() && now.Sub(m.changed) <= keepRows {
+			r.Rows = append(r.Rows, evidence.Row{Backend: m.handle, Counts: m.totals})
+		}
+		switch {
+		case m.everywhere():
+			r.Ejected = append(r.Ejected, m.claim())
+		case !m.wished.IsZero():
+			r.Wished = append(r.Wished, m.claim())
+		}
+	}
+	return r
+}
