Name the refusal of a body that is too large

Cause: the ledger takes the digest of a keyed request's body before it is sent, so the entry host bounds such bodies; status 431 speaks of headers. Change: one kind of refusal in the root package, answered by 413.

--- a/kind.go
+++ b/kind.go
@@ -65,6 +65,8 @@
 	KindBadAnswer
 	// KindCallerGone is a caller that went away before the answer.
 	KindCallerGone
+	// KindBodyTooLarge is a request whose body exceeds a limit.
+	KindBodyTooLarge
 	// KindCount is the number of kinds.
 	KindCount
 )
@@ -102,6 +104,8 @@
 	KindCut:         {"cut", http.StatusBadGateway},
 	KindBadAnswer:   {"bad-answer", http.StatusBadGateway},
 	KindCallerGone:  {"caller-gone", http.StatusBadRequest},
+
+	KindBodyTooLarge: {"body-too-large", http.StatusRequestEntityTooLarge},
 }
 
 // ErrKind is the class of errors for a name that is not a kind of refusal.
