Hold the once-only flow true when the ledger fails

Cause: a claim whose reply is lost may be granted unheard, and a key scoped by an address changes its scope when a resend comes through another balancer. Change: claims are numbered and disowned when no reply comes; settlements are repeated until the ledger confirms, for an hour at most; keys of callers without a steady name are scoped by the service alone. Conclusion: TestOnceUnderFaults resends 150 operations six times through two hosts, with failing backends and lost ledger replies: no operation ran twice and no verdict was false.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -126,7 +126,7 @@
 
 func keyedTooLong() *mustardramp.Denial {
 	return &mustardramp.Denial{
-		Kind:   mustardramp.KindTooLarge,
+		Kind:   mustardramp.KindBodyTooLarge,
 		Reason: "the body of a request with an operation key is longer than the host can hold",
 		Facts:  []mustardramp.Fact{{Name: "limit", Value: strconv.Itoa(KeyedLimit)}},
 	}
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -8,19 +8,20 @@
 )
 
 // callerOf names the caller: by its verified certificate, else by the header
-// of a trusted balancer, else by its address.
-func (h *Handler) callerOf(r *http.Request) mustardramp.CallerName {
+// of a trusted balancer, else by its address. An address is not steady: it may
+// be that of one of several balancers.
+func (h *Handler) callerOf(r *http.Request) (name mustardramp.CallerName, steady bool) {
 	if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
 		if name := r.TLS.PeerCertificates[0].Subject.CommonName; name != "" {
-			return mustardramp.CallerName(name)
+			return mustardramp.CallerName(name), true
 		}
 	}
 	if h.config.CallerHeader != "" {
 		if name := r.Header.Get(h.config.CallerHeader); name != "" {
-			return mustardramp.CallerName(name)
+			return mustardramp.CallerName(name), true
 		}
 	}
-	return mustardramp.CallerName(addressOf(r))
+	return mustardramp.CallerName(addressOf(r)), false
 }
 
 func addressOf(r *http.Request) string {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -51,14 +51,7 @@
 	if x.h.config.Ledger == nil {
 		return ledgerDenial("this host has no ledger", nil)
 	}
-	claim := &mustardramp.Claim{
-		ID:          mustardramp.ClaimID{Service: x.contract.Service, Caller: x.caller, Key: x.key},
-		Digest:      x.digest(),
-		Host:        x.h.config.Host,
-		Incarnation: x.h.config.Incarnation,
-		Home:        x.contract.Home,
-		Keep:        x.contract.Keep,
-	}
+	claim := x.newClaim()
 	reply, denial := x.ask(claim)
 	if denial != nil {
 		return denial
@@ -74,6 +67,23 @@
 	return denial
 }
 
+// newClaim asks for the operation. Keys of a caller without a steady name are
+// scoped by the service alone: a resend may come from another address.
+func (x *exchange) newClaim() *mustardramp.Claim {
+	claim := &mustardramp.Claim{
+		ID:          mustardramp.ClaimID{Service: x.contract.Service, Key: x.key},
+		Digest:      x.digest(),
+		Host:        x.h.config.Host,
+		Incarnation: x.h.config.Incarnation,
+		Home:        x.contract.Home,
+		Keep:        x.contract.Keep,
+	}
+	if x.steady {
+		claim.ID.Caller = x.caller
+	}
+	return claim
+}
+
 // ask claims the operation. It waits for another sending of it to end, but
 // not beyond the deadline. A claim is not given up when the caller leaves: it
 // could be granted unheard.
@@ -94,10 +104,17 @@
 	}
 }
 
+// askOnce sends one numbered claim. When no reply comes, the claim may have
+// been granted unheard, so it is disowned.
 func (x *exchange) askOnce(ctx context.Context, claim *mustardramp.Claim) (mustardramp.ClaimReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	return x.h.config.Ledger.Claim(ctx, *claim)
+	claim.Ask = x.h.asked.Add(1)
+	reply, err := x.h.config.Ledger.Claim(ctx, *claim)
+	if err != nil {
+		x.h.settler.disown(*claim)
+	}
+	return reply, err
 }
 
 // sleep reports false when the context ended or the caller left first.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,6 +94,7 @@
 	buffers   sync.Pool
 	held      atomic.Int64
 	inFlight  atomic.Int64
+	asked     atomic.Uint64
 	stopping  atomic.Bool
 	settler   settler
 	// base ends when the operator cuts what is still in flight.
@@ -141,9 +142,9 @@
 		w:       w,
 		r:       r,
 		arrived: h.config.Clock.Now(),
-		caller:  h.callerOf(r),
 		verdict: mustardramp.Not(),
 	}
+	x.caller, x.steady = h.callerOf(r)
 	defer x.end()
 	if denial := x.run(); denial != nil {
 		x.refuse(denial)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -21,6 +21,8 @@
 	// deadline is when the first byte of the answer is due.
 	deadline time.Time
 	caller   mustardramp.CallerName
+	// steady is true when the caller has the same name on every way in.
+	steady   bool
 	contract *contract.Contract
 	service  *Service
 	route    *contract.Route
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,6 +16,10 @@
 	settleTimeout    = 3 * time.Second
 	firstSettlePause = 20 * time.Millisecond
 	lastSettlePause  = 5 * time.Second
+	// settleSpan ends the attempts for an outcome that the ledger never takes.
+	settleSpan = time.Hour
+	// maxDisowned bounds the claims that are disowned at one time.
+	maxDisowned = 1024
 )
 
 // settler has the outcomes of granted claims recorded, beside the requests
@@ -24,6 +29,8 @@
 	group  errgroup.Group
 	ctx    context.Context
 	cancel context.CancelFunc
+	// disowned counts the claims that are being disowned.
+	disowned atomic.Int64
 }
 
 func (s *settler) start(ledger mustardramp.Ledger) {
@@ -31,34 +38,70 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 }
 
+// settle has an outcome recorded.
 func (s *settler) settle(settlement mustardramp.Settlement) {
 	s.group.Go(func() error {
-		s.persist(settlement)
+		s.repeat(settlement, func(ctx context.Context) error {
+			return s.ledger.Settle(ctx, settlement)
+		})
 		return nil
 	})
 }
 
-// persist repeats the settlement until the ledger has it or the host stops.
-func (s *settler) persist(settlement mustardramp.Settlement) {
+// disown settles a claim whose reply was lost, if it was granted. Nothing was
+// sent under it. Beyond maxDisowned a claim stays as it is, and its key is
+// refused until an operator settles it.
+func (s *settler) disown(claim mustardramp.Claim) {
+	if s.disowned.Add(1) > maxDisowned {
+		s.disowned.Add(-1)
+		klog.InfoS("claim-left", "service", claim.ID.Service, "caller", claim.ID.Caller, "key", claim.ID.Key)
+		return
+	}
+	s.group.Go(func() error {
+		defer s.disowned.Add(-1)
+		settlement := unsent(claim)
+		s.repeat(settlement, func(ctx context.Context) error {
+			reply, err := s.ledger.Claim(ctx, claim)
+			if err != nil || reply.State != mustardramp.ClaimGranted {
+				return err
+			}
+			settlement.Attempt = reply.Attempt
+			return s.ledger.Settle(ctx, settlement)
+		})
+		return nil
+	})
+}
+
+func unsent(claim mustardramp.Claim) mustardramp.Settlement {
+	return mustardramp.Settlement{
+		ID:          claim.ID,
+		Home:        claim.Home,
+		Host:        claim.Host,
+		Incarnation: claim.Incarnation,
+		Outcome:     mustardramp.NotRun,
+	}
+}
+
+// repeat tries until the ledger confirms, settleSpan has passed or the host
+// stops.
+func (s *settler) repeat(about mustardramp.Settlement, try func(context.Context) error) {
+	span, end := context.WithTimeout(s.ctx, settleSpan)
+	defer end()
 	for pause := firstSettlePause; ; pause = min(2*pause, lastSettlePause) {
-		err := s.once(settlement)
+		ctx, cancel := context.WithTimeout(span, settleTimeout)
+		err := try(ctx)
+		cancel()
 		if err == nil {
 			return
 		}
-		if !pauseFor(s.ctx, pause) {
-			klog.ErrorS(err, "settlement-lost", "service", settlement.ID.Service, "caller", settlement.ID.Caller,
-				"key", settlement.ID.Key, "outcome", settlement.Outcome.String())
+		if !pauseFor(span, pause) {
+			klog.ErrorS(err, "settlement-lost", "service", about.ID.Service, "caller", about.ID.Caller,
+				"key", about.ID.Key, "outcome", about.Outcome.String())
 			return
 		}
 	}
 }
 
-func (s *settler) once(settlement mustardramp.Settlement) error {
-	ctx, cancel := context.WithTimeout(s.ctx, settleTimeout)
-	defer cancel()
-	return s.ledger.Settle(ctx, settlement)
-}
-
 // stop waits until every outcome is recorded, or until the context ends.
 func (s *settler) stop(ctx context.Context) error {
 	release := context.AfterFunc(ctx, s.cancel)
