Let the backend decline a body that waits for 100-continue

Cause: the attempt's request named no protocol version, so the transport did not wait for the backend's consent and asked the caller for the body at once. Change: the version is set, and attempts over connections of their own say that they close. Tests of retries, streaming both ways, memory of long bodies, trailers, HEAD, informational and early answers, and broken uploads. Conclusion: TestExpectContinue failed before and passes. 64 MiB pass both ways within 6 MiB of further heap (TestLongBodiesAreNotHeld).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -133,8 +133,13 @@
 			RawQuery:   x.r.URL.RawQuery,
 			ForceQuery: x.r.URL.ForceQuery,
 		},
-		Host:   x.r.Host,
-		Header: x.outgoing(),
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Host:       x.r.Host,
+		Header:     x.outgoing(),
+		// Without it the transport sends a body that the backend declined.
+		Close: transport == x.h.transport.fresh,
 	}).WithContext(httptrace.WithClientTrace(a.ctx, a.trace()))
 	x.attach(out)
 	if x.body.stream == nil {
