Stop an entry host without cutting a request

Cause: a planned stop must not cut an upload of hours, and an operator who cuts must learn what may have run. Change: a Server: readiness falls first, answers close their connections, then the listener closes, requests in flight end, outcomes are settled; the end of the stop's context cuts, and each cut request leaves its verdict. Contexts that outlive their request derive from 64 parents, so that no lock is shared by all.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -45,8 +45,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	// due ends the attempt at the deadline, until the answer begins.
-	due     *time.Timer
-	stopper func() bool
+	due *time.Timer
 
 	wire *wire
 	// began is when the attempt was dispatched, or when the last byte of a
@@ -86,21 +85,15 @@
 func (a *attempt) start() {
 	parent := a.x.r.Context()
 	if a.x.route.Once {
-		parent = a.x.h.base
+		parent = a.x.h.lasting()
 	}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
-	if !a.x.route.Once {
-		a.stopper = context.AfterFunc(a.x.h.base, func() { a.cancel(errCut) })
-	}
 	left := a.x.deadline.Sub(a.began)
 	a.due = time.AfterFunc(left, func() { a.cancel(errTimeout) })
 }
 
 func (a *attempt) stop() {
 	a.due.Stop()
-	if a.stopper != nil {
-		a.stopper()
-	}
 	a.cancel(nil)
 }
 
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -88,7 +88,7 @@
 // not beyond the deadline. A claim is not given up when the caller leaves: it
 // could be granted unheard.
 func (x *exchange) ask(claim *mustardramp.Claim) (mustardramp.ClaimReply, *mustardramp.Denial) {
-	ctx, cancel := context.WithTimeout(x.h.base, x.deadline.Sub(x.h.config.Clock.Now()))
+	ctx, cancel := context.WithTimeout(x.h.lasting(), x.deadline.Sub(x.h.config.Clock.Now()))
 	defer cancel()
 	for pause := firstPoll; ; pause = min(2*pause, lastPoll) {
 		reply, err := x.askOnce(ctx, claim)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,11 +95,26 @@
 	held      atomic.Int64
 	inFlight  atomic.Int64
 	asked     atomic.Uint64
-	stopping  atomic.Bool
-	settler   settler
-	// base ends when the operator cuts what is still in flight.
-	base context.Context
-	cut  context.CancelCauseFunc
+	spread    atomic.Uint64
+	// draining hosts close each connection with its answer; stopping ones take
+	// no new request.
+	draining atomic.Bool
+	stopping atomic.Bool
+	settler  settler
+	// base ends when the operator cuts what is still in flight. Each of bases
+	// ends with it; requests spread over them, because a context locks when
+	// another one is derived from it.
+	base  context.Context
+	cut   context.CancelCauseFunc
+	bases [baseCount]base
+}
+
+const baseCount = 64
+
+// base is a context that outlives requests.
+type base struct {
+	ctx context.Context
+	end context.CancelFunc
 }
 
 // New returns a handler. Close it when no request is in flight any more.
@@ -115,6 +130,9 @@
 	}
 	h := &Handler{config: config, transport: newTransport(config.Dial)}
 	h.base, h.cut = context.WithCancelCause(context.Background())
+	for i := range h.bases {
+		h.bases[i].ctx, h.bases[i].end = context.WithCancel(h.base)
+	}
 	h.buffers.New = func() any {
 		buf := make([]byte, bufferSize)
 		return &buf
@@ -137,6 +155,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	x := exchange{
 		h:       h,
 		w:       w,
@@ -155,5 +176,13 @@
 // the settling of outcomes, which it waits for until the context ends.
 func (h *Handler) Close(ctx context.Context) error {
 	h.transport.closeIdle()
+	for i := range h.bases {
+		h.bases[i].end()
+	}
 	return h.settler.stop(ctx)
 }
+
+// lasting returns a context that does not end with a request.
+func (h *Handler) lasting() context.Context {
+	return h.bases[h.spread.Add(1)%baseCount].ctx
+}
--- /dev/null
+++ b/internal/entry/server_test.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// serving is a fixture behind a Server that a test stops.
+type serving struct {
+	*fixture
+	stop    *Server
+	address string
+	group   errgroup.Group
+}
+
+func newServing(t *testing.T, delay time.Duration, backends ...string) *serving {
+	t.Helper()
+	s := &serving{fixture: newFixture(t, backends...)}
+	s.stop = NewServer(s.handler, delay, nil)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = listener.Addr().String()
+	s.server.URL = "http://" + s.address
+	s.group.Go(func() error { return s.stop.Serve(listener) })
+	eventually(t, "readiness", s.stop.Ready)
+	return s
+}
+
+func (s *serving) dial(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+// held waits until a number of slots is in use.
+func (s *serving) held(t *testing.T, n int) {
+	t.Helper()
+	eventually(t, "the slots", func() bool {
+		s.pool.mu.Lock()
+		defer s.pool.mu.Unlock()
+		return s.pool.held == n
+	})
+}
+
+// TestStopCutsNothing stops a host in the middle of an upload, of an answer and
+// of a request that waits, and lets all end.
+func TestStopCutsNothing(t *testing.T) {
+	release := make(chan struct{})
+	backend := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, "begun ")
+			_ = http.NewResponseController(w).Flush()
+			<-release
+		}
+		_, _ = io.WriteString(w, string(body[max(0, len(body)-4):])+"ended")
+	})
+	s := newServing(t, 0, backend)
+	upload, uploaded := s.dial(t)
+	_, _ = io.WriteString(upload, "PUT /uploads/a HTTP/1.1\r\nHost: mohor.example\r\nContent-Length: 100004\r\n\r\n"+strings.Repeat("x", 50_000))
+	download, downloaded := s.dial(t)
+	_, _ = io.WriteString(download, "GET /plain/a HTTP/1.1\r\nHost: mohor.example\r\n\r\n")
+	s.held(t, 2)
+	idle, _ := s.dial(t)
+	var stopped errgroup.Group
+	stopped.Go(func() error { return s.stop.Stop(context.Background()) })
+	eventually(t, "the fall of readiness", func() bool { return !s.stop.Ready() })
+	if err := s.group.Wait(); err != nil {
+		t.Errorf("Serve: got %v, want nil", err)
+	}
+	if conn, err := net.Dial("tcp", s.address); err == nil {
+		_ = conn.Close()
+		t.Error("a new connection: got it accepted, want it refused")
+	}
+	_, _ = io.WriteString(upload, strings.Repeat("x", 50_000)+"last")
+	close(release)
+	for name, reader := range map[string]*bufio.Reader{"lastended": uploaded, "begun ended": downloaded} {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("answer %q: got %v, want it whole", name, err)
+		}
+		if got := text(t, response); got != name {
+			t.Errorf("answer: got %q, want %q", got, name)
+		}
+	}
+	_ = idle.Close()
+	if err := stopped.Wait(); err != nil {
+		t.Errorf("Stop: got %v, want nil", err)
+	}
+}
+
+// TestDelayServesWithoutKeepAlive checks the time between the fall of
+// readiness and the end of accepting.
+func TestDelayServesWithoutKeepAlive(t *testing.T) {
+	backend := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	s := newServing(t, time.Hour, backend)
+	if response := s.ask(t, "GET", "/plain/a", ""); response.Close || text(t, response) != "ok" {
+		t.Error("before the stop: got a closed connection, want it kept")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var stopped errgroup.Group
+	stopped.Go(func() error { return s.stop.Stop(ctx) })
+	eventually(t, "draining", s.handler.draining.Load)
+	w := httptest.NewRecorder()
+	s.stop.Readiness(w, nil)
+	if w.Code != http.StatusServiceUnavailable {
+		t.Errorf("readiness: got %d, want 503", w.Code)
+	}
+	if response := s.ask(t, "GET", "/plain/a", ""); !response.Close || text(t, response) != "ok" {
+		t.Error("in the delay: got a kept connection, want the answer and a close")
+	}
+	cancel()
+	_ = stopped.Wait()
+	_ = s.group.Wait()
+}
+
+func TestStoppingHostRefuses(t *testing.T) {
+	f := newFixture(t)
+	f.handler.stopping.Store(true)
+	response := f.ask(t, "POST", "/stamps", "")
+	f.wantRefusal(t, response, mustardramp.KindStopping, mustardramp.Not())
+	if !response.Close || response.Header.Get("Retry-After") == "" {
+		t.Errorf("got close %v, Retry-After %q, want the connection closed and a retry elsewhere", response.Close, response.Header.Get("Retry-After"))
+	}
+}
+
+// TestSecondSignalCuts checks that each request that the operator cuts leaves
+// its verdict behind.
+func TestSecondSignalCuts(t *testing.T) {
+	hang := make(chan struct{})
+	t.Cleanup(func() { close(hang) })
+	backend := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/plain/begun" {
+			_, _ = io.WriteString(w, "begun")
+			_ = http.NewResponseController(w).Flush()
+		}
+		select {
+		case <-hang:
+		case <-r.Context().Done():
+		}
+	})
+	s := newServing(t, 0, backend)
+	requests := map[string]string{
+		"once":    "POST /stamps HTTP/1.1\r\nContent-Length: 1\r\n",
+		"plain":   "GET /plain/a HTTP/1.1\r\n",
+		"answer":  "GET /plain/begun HTTP/1.1\r\n",
+		"upload":  "PUT /uploads/a HTTP/1.1\r\nContent-Length: 100000\r\n",
+		"reading": "POST /stamps HTTP/1.1\r\nContent-Length: 50\r\n",
+	}
+	verdicts := map[string]mustardramp.Verdict{
+		"once": mustardramp.Maybe(), "plain": mustardramp.Maybe(), "answer": mustardramp.Done(),
+		"upload": mustardramp.Maybe(), "reading": mustardramp.Not(),
+	}
+	for id, request := range requests {
+		conn, _ := s.dial(t)
+		_, _ = io.WriteString(conn, request+"Host: mohor.example\r\nX-Request-Id: "+id+"\r\n\r\nx")
+	}
+	s.held(t, 4)
+	eventually(t, "all requests", func() bool { return s.handler.InFlight() == 5 })
+	ctx, cancel := context.WithCancel(context.Background())
+	var stopped errgroup.Group
+	stopped.Go(func() error { return s.stop.Stop(ctx) })
+	eventually(t, "the stop", s.handler.stopping.Load)
+	cancel()
+	if err := stopped.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		t.Errorf("Stop: got %v, want nil", err)
+	}
+	if got := s.handler.InFlight(); got != 0 {
+		t.Errorf("in flight: got %d, want 0", got)
+	}
+	for id, want := range verdicts {
+		found := s.handler.Refusals().ByRequest(id)
+		if len(found) != 1 {
+			t.Errorf("%s: got %d refusals, want 1", id, len(found))
+			continue
+		}
+		if got := found[0].Verdict; got != want {
+			t.Errorf("%s: got verdict %v, want %v", id, verdictText(got), verdictText(want))
+		}
+	}
+}
