Answer refused announcements with the roster's reason

Cause: the roster tells statements out of order from faulty ones. Change: 409 for a statement out of order, 503 for a full roster, 422 else; an empty token asks for no proof.

--- a/internal/announcement/announcement.go
+++ b/internal/announcement/announcement.go
@@ -9,13 +9,14 @@
 	"errors"
 	"mime"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
-	"github.com/zeebo/errs"
 	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/roster"
 	"github.com/mustardramp/mustardramp/pkg/announce"
 	"github.com/mustardramp/mustardramp/pkg/contract"
 )
@@ -29,13 +30,6 @@
 	MaxLease = 5 * time.Minute
 )
 
-// ErrStale is the class of errors of a Roster for a statement that is older
-// than what it holds.
-var ErrStale = errs.Class("stale announcement")
-
-// ErrFull is the error of a Roster that holds as many backends as it may.
-var ErrFull = errs.New("the roster is full")
-
 // Roster keeps what backends announced.
 type Roster interface {
 	// Announce takes in a checked statement for the time of its lease.
@@ -49,7 +43,8 @@
 	Contracts func() *contract.Set
 	Clock     mustardramp.Clock
 	// Tokens lists the tokens that prove a backend; none means that no proof
-	// is asked for. Two tokens overlap while one replaces the other.
+	// is asked for, and an empty one counts as none. Two tokens overlap while
+	// one replaces the other.
 	Tokens []string
 	// Zones maps each zone of the fleet to its region; none means that any
 	// zone is taken.
@@ -66,6 +61,7 @@
 	if config.Clock == nil {
 		config.Clock = mustardramp.SystemClock{}
 	}
+	config.Tokens = slices.DeleteFunc(slices.Clone(config.Tokens), func(t string) bool { return t == "" })
 	return &Handler{config: config}
 }
 
@@ -145,13 +141,22 @@
 		return p
 	}
 	err := h.config.Roster.Announce(h.config.Clock.Now(), backendOf(a), a.Span())
-	switch {
-	case err == nil:
+	if err == nil {
 		return nil
-	case ErrStale.Has(err):
-		return problem(http.StatusConflict, err.Error())
+	}
+	return problem(statusOf(err), err.Error())
+}
+
+// statusOf tells a statement out of order from one that is at fault and from a
+// roster that takes none.
+func statusOf(err error) int {
+	switch {
+	case roster.ErrState.Has(err), roster.ErrIncarnation.Has(err), roster.ErrSequence.Has(err):
+		return http.StatusConflict
+	case roster.ErrFull.Has(err):
+		return http.StatusServiceUnavailable
 	default:
-		return problem(http.StatusServiceUnavailable, err.Error())
+		return http.StatusUnprocessableEntity
 	}
 }
 
--- a/internal/announcement/announcement_test.go
+++ b/internal/announcement/announcement_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/roster"
 	"github.com/mustardramp/mustardramp/pkg/announce"
 	"github.com/mustardramp/mustardramp/pkg/contract"
 )
@@ -65,8 +66,9 @@
 		"other scheme":     {good, "Basic new", "application/json", true, nil, 401, "token"},
 		"other type":       {good, "Bearer new", "text/plain", true, nil, 415, "application/json"},
 		"no configuration": {good, "Bearer new", "application/json", false, nil, 503, "configuration"},
-		"stale":            {good, "Bearer new", "application/json", true, ErrStale.New("older"), 409, "older"},
-		"roster full":      {good, "Bearer new", "application/json", true, ErrFull, 503, "full"},
+		"stale":            {good, "Bearer new", "application/json", true, roster.ErrSequence.New("older"), 409, "older"},
+		"roster full":      {good, "Bearer new", "application/json", true, roster.ErrFull.New("full"), 503, "full"},
+		"roster objects":   {good, "Bearer new", "application/json", true, roster.ErrPlace.New("no region"), 422, "region"},
 		"not JSON":         {"{", "Bearer new", "application/json", true, nil, 400, "valid"},
 		"two":              {good + good, "Bearer new", "application/json", true, nil, 400, "more than one"},
 		"unknown field":    {`{"serivce":"a"}`, "Bearer new", "application/json", true, nil, 400, "serivce"},
@@ -104,6 +106,13 @@
 	}
 }
 
+func TestEmptyTokenAsksForNone(t *testing.T) {
+	h := New(Config{Tokens: []string{""}})
+	if !h.authentic(httptest.NewRequest(http.MethodPost, announce.Path, nil)) {
+		t.Error("got a request without token refused, want it taken")
+	}
+}
+
 // TestClient lets the client library announce a backend through its life.
 func TestClient(t *testing.T) {
 	roster := &fakeRoster{}
