List the events of the data path

Cause: operators search logs by event. The test of the second signal now waits until the backend has the requests: before, it could cut one whose answer had not begun, and then expected the wrong verdict.

--- /dev/null
+++ b/internal/entry/logs_test.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestEventsAreListed compares the events that the data path logs with the
+// page that lists them.
+func TestEventsAreListed(t *testing.T) {
+	page, err := os.ReadFile("../../docs/LOGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	call := regexp.MustCompile(`(?:InfoS\(|ErrorS\(\w+, )"([^"]+)"`)
+	name := regexp.MustCompile(`^[a-z]+(-[a-z]+)*$`)
+	found := 0
+	for _, dir := range []string{".", "../keys", "../announcement", "../tally", "../refusal"} {
+		files, _ := filepath.Glob(filepath.Join(dir, "*.go"))
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, match := range call.FindAllStringSubmatch(string(text), -1) {
+				found++
+				if !name.MatchString(match[1]) {
+					t.Errorf("%s: got the event %q, want words with dashes", file, match[1])
+				}
+				if !strings.Contains(string(page), "| `"+match[1]+"` |") {
+					t.Errorf("%s: got the event %q, want it listed in docs/LOGS.md", file, match[1])
+				}
+			}
+		}
+	}
+	if found < 10 {
+		t.Errorf("events: got %d, want at least 10", found)
+	}
+}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,7 +148,9 @@
 func TestSecondSignalCuts(t *testing.T) {
 	hang := make(chan struct{})
 	t.Cleanup(func() { close(hang) })
+	var arrived atomic.Int64
 	backend := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.URL.Path == "/plain/begun" {
 			_, _ = io.WriteString(w, "begun")
@@ -171,10 +174,15 @@
 		"upload": mustardramp.Maybe(), "reading": mustardramp.Not(),
 	}
 	for id, request := range requests {
-		conn, _ := s.dial(t)
+		conn, reader := s.dial(t)
 		_, _ = io.WriteString(conn, request+"Host: mohor.example\r\nX-Request-Id: "+id+"\r\n\r\nx")
+		if id == "answer" {
+			if _, err := http.ReadResponse(reader, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
 	}
-	s.held(t, 4)
+	eventually(t, "the backend's work", func() bool { return arrived.Load() == 4 })
 	eventually(t, "all requests", func() bool { return s.handler.InFlight() == 5 })
 	ctx, cancel := context.WithCancel(context.Background())
 	var stopped errgroup.Group
