Add the core of the exchange of records

Cause: changes, statements and summaries must reach every host without control, in any order, within 4 KB/s a host. Change: internal/exchange Node merges records monotonically, offers long ones by version and sends short ones unasked, compares digests of 64 buckets and fetches what differs in pages, under two token buckets.

--- /dev/null
+++ b/internal/exchange/answer.go
@@ -0,0 +1,185 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// Answer takes in a peer's request. It returns the response and the records
+// that are news here.
+func (n *Node) Answer(now time.Time, r *Request) (*Response, []mustardramp.Record, error) {
+	records, err := n.packer.unpack(r.News)
+	if err != nil {
+		return nil, nil, err
+	}
+	news := n.merge(now, r.From, records)
+	resp := &Response{Ready: n.ready.is, Replies: n.replies(now, r)}
+	if r.Fetch != nil {
+		resp.Page, err = n.page(now, r.Fetch)
+		if err != nil {
+			return nil, news, err
+		}
+	}
+	resp.Sums = n.Sums()
+	resp.Newest = n.Newest()
+	if r.Compare {
+		resp.Buckets = n.differing(r.Sums)
+	}
+	n.budget.force(now, resp.size())
+	return resp, news, nil
+}
+
+// replies decides about each offered record.
+func (n *Node) replies(now time.Time, r *Request) []Reply {
+	out := make([]Reply, len(r.Have))
+	for i, stub := range r.Have {
+		out[i] = n.reply(now, stub)
+	}
+	return out
+}
+
+func (n *Node) reply(now time.Time, stub Stub) Reply {
+	at := stub.ref()
+	if at.kind >= mustardramp.RecordKindCount || !stub.Version.After(n.store.version(at)) {
+		return ReplyKnown
+	}
+	e, asked := n.expected[at]
+	if asked && now.Before(e.until) && !stub.Version.After(e.version) {
+		return ReplyLater
+	}
+	if len(n.expected) >= expectLimit {
+		n.forget(now)
+	}
+	n.expected[at] = expectation{stub.Version, now.Add(expectTime)}
+	return ReplyWanted
+}
+
+// forget drops the expectations whose time has passed.
+func (n *Node) forget(now time.Time) {
+	for at, e := range n.expected {
+		if now.After(e.until) {
+			delete(n.expected, at)
+		}
+	}
+}
+
+// differing returns the digests by bucket of the kinds that differ.
+func (n *Node) differing(theirs Sums) map[mustardramp.RecordKind][]uint64 {
+	var out map[mustardramp.RecordKind][]uint64
+	for k, mine := range n.Sums() {
+		if mine == theirs[k] {
+			continue
+		}
+		if out == nil {
+			out = make(map[mustardramp.RecordKind][]uint64)
+		}
+		sums := n.store.kinds[k].sums
+		out[mustardramp.RecordKind(k)] = sums[:]
+	}
+	return out
+}
+
+// Done takes in the response to a request. It returns the records that are news
+// here.
+func (n *Node) Done(now time.Time, to mustardramp.HostName, r *Request, resp *Response) ([]mustardramp.Record, error) {
+	l := n.links[to]
+	if l == nil {
+		return nil, nil
+	}
+	l.busy, l.failures = false, 0
+	l.at, l.idle = now.Add(n.budget.pause(now)), now.Add(n.jitter(heartbeat))
+	for i, stub := range r.Have {
+		if i < len(resp.Replies) {
+			l.settle(now, stub, resp.Replies[i])
+		}
+	}
+	news, err := n.takePage(now, l, r.Fetch, resp.Page)
+	if err != nil {
+		return nil, err
+	}
+	n.compare(now, l, r, resp)
+	l.fresh = false
+	if l.fetch == nil {
+		n.release(l)
+	}
+	n.ready.heard(to, resp.Ready, l.inSync(n.Sums(), resp.Sums))
+	return news, nil
+}
+
+// settle follows a reply to an offered record.
+func (l *peerLink) settle(now time.Time, stub Stub, reply Reply) {
+	switch reply {
+	case ReplyWanted:
+		l.out.put(stub.ref(), outItem{wanted: true})
+	case ReplyLater:
+		l.out.put(stub.ref(), outItem{due: now.Add(offerPause)})
+	case ReplyKnown:
+	}
+}
+
+// compare counts differing digests, and starts to fetch from the first bucket
+// of a kind that differs.
+func (n *Node) compare(now time.Time, l *peerLink, r *Request, resp *Response) {
+	for k, mine := range n.Sums() {
+		if mine == resp.Sums[k] {
+			l.differs[k] = 0
+			continue
+		}
+		l.differs[k]++
+		l.idle = earlier(l.idle, now.Add(recheck))
+	}
+	if !r.Compare {
+		return
+	}
+	for k := range mustardramp.RecordKind(comparedKinds) {
+		if mask := n.mask(k, resp.Buckets[k]); mask != 0 {
+			l.fetch = n.newFetch(k, mask, 0, true)
+			return
+		}
+	}
+}
+
+// mask has a bit for each bucket whose digest differs from the peer's.
+func (n *Node) mask(kind mustardramp.RecordKind, theirs []uint64) uint64 {
+	if len(theirs) != bucketCount {
+		return 0
+	}
+	var mask uint64
+	for b, sum := range n.store.kinds[kind].sums {
+		if sum != theirs[b] {
+			mask |= 1 << b
+		}
+	}
+	return mask
+}
+
+// inSync reports whether all changes of the peer are held here.
+func (l *peerLink) inSync(mine, theirs Sums) bool {
+	return mine[mustardramp.RecordChange] == theirs[mustardramp.RecordChange]
+}
+
+// Failed takes in that a request had no response.
+func (n *Node) Failed(now time.Time, to mustardramp.HostName, r *Request) {
+	l := n.links[to]
+	if l == nil {
+		return
+	}
+	l.busy = false
+	l.failures++
+	n.release(l)
+	l.at, l.idle = now.Add(n.jitter(retryPause)), now.Add(heartbeat)
+	if l.failures >= failuresToClear {
+		l.out.clear()
+		l.fresh = true
+		return
+	}
+	for _, at := range r.sent {
+		l.out.put(at, outItem{due: now})
+	}
+}
+
+// jitter returns a random time between three quarters of d and d.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return d - time.Duration(n.random.Int64N(int64(d)/4))
+}
--- /dev/null
+++ b/internal/exchange/budget.go
@@ -0,0 +1,93 @@
+package exchange
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+const (
+	// DefaultRate is the number of bytes a second that a host may send for
+	// control on average.
+	DefaultRate mustardramp.Bytes = 4096
+	// summaryShare is the share of the rate that is kept for summaries; changes
+	// may use it too.
+	summaryShare = 3.0 / 8
+	// burstTime is for how long a quiet host saves up bytes for changes.
+	burstTime = 128 * time.Second
+	// summaryBurstTime is for how long it saves up bytes for summaries.
+	summaryBurstTime = 4 * time.Second
+	// reserveShare is the share of the saved bytes that pages of a catch-up
+	// leave for news.
+	reserveShare = 1.0 / 4
+	// frameBytes is the cost of a message beside its payload.
+	frameBytes = 100
+)
+
+// wireBytes returns the length on the wire of a payload, which JSON carries in
+// base64.
+func wireBytes(payload int) int {
+	return payload*4/3 + frameBytes
+}
+
+// budget bounds the bytes that a host sends: over any span it sends at most
+// the rate times the span, plus what it has saved up.
+type budget struct {
+	news      *rate.Limiter
+	summaries *rate.Limiter
+	reserve   float64
+	spent     mustardramp.Bytes
+}
+
+func newBudget(bytesPerSecond mustardramp.Bytes) *budget {
+	if bytesPerSecond == 0 {
+		bytesPerSecond = DefaultRate
+	}
+	limiter := func(perSecond float64, save time.Duration) *rate.Limiter {
+		return rate.NewLimiter(rate.Limit(perSecond), int(perSecond*save.Seconds()))
+	}
+	total := float64(bytesPerSecond)
+	b := &budget{
+		news:      limiter(total*(1-summaryShare), burstTime),
+		summaries: limiter(total*summaryShare, summaryBurstTime),
+	}
+	b.reserve = float64(b.news.Burst()) * reserveShare
+	return b
+}
+
+// force spends bytes that must be sent, if need be in advance.
+func (b *budget) force(now time.Time, n int) {
+	b.spent += mustardramp.Bytes(n)
+	b.news.ReserveN(now, min(n, b.news.Burst()))
+}
+
+// allowNews spends bytes for changes and statements.
+func (b *budget) allowNews(now time.Time, n int) bool {
+	return b.spend(b.news.AllowN(now, n) || b.summaries.AllowN(now, n), n)
+}
+
+// allowSummary spends bytes for summaries.
+func (b *budget) allowSummary(now time.Time, n int) bool {
+	return b.spend(b.summaries.AllowN(now, n), n)
+}
+
+// pageBytes returns how many bytes a page of a catch-up may have.
+func (b *budget) pageBytes(now time.Time) int {
+	return max(0, int(b.news.TokensAt(now)-b.reserve))
+}
+
+// pause returns the least time between two requests over a link: the less is
+// left of the saved bytes, the more news a request collects.
+func (b *budget) pause(now time.Time) time.Duration {
+	used := 1 - b.news.TokensAt(now)/float64(b.news.Burst())
+	return batchPause + time.Duration(min(1, max(0, used))*float64(longBatchPause-batchPause))
+}
+
+func (b *budget) spend(allowed bool, n int) bool {
+	if allowed {
+		b.spent += mustardramp.Bytes(n)
+	}
+	return allowed
+}
--- /dev/null
+++ b/internal/exchange/node.go
@@ -0,0 +1,342 @@
+package exchange
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+const (
+	// heartbeat is the pause after which an idle link is used.
+	heartbeat = time.Second
+	// recheck is the pause after which digests that differed are compared.
+	recheck = 250 * time.Millisecond
+	// batchPause is the least time between two requests over a link, so that
+	// news that arrives together travels together.
+	batchPause = 20 * time.Millisecond
+	// longBatchPause is the pause of a host that has spent its saved bytes.
+	longBatchPause = 500 * time.Millisecond
+	// retryPause is the pause after a failed request.
+	retryPause = 200 * time.Millisecond
+	// offerPause is the pause before a record is offered again to a peer that
+	// expects it from elsewhere.
+	offerPause = 250 * time.Millisecond
+	// offerStagger is the pause between the links over which a long record is
+	// offered.
+	offerStagger = 40 * time.Millisecond
+	// expectTime is for how long an asked-for record is not asked for again.
+	expectTime = 600 * time.Millisecond
+	// expectLimit is the number of expectations from which old ones are dropped.
+	expectLimit = 4096
+	// pushBytes is the length up to which a record is sent unasked.
+	pushBytes = 384
+	// requestBytes bounds the payloads of one request.
+	requestBytes = 32 << 10
+	// summaryLinks is the number of links over which a summary is passed on.
+	summaryLinks = 2
+	// failuresToClear is the number of failures in a row after which a link's
+	// list is dropped: digests find the rest when the peer is back.
+	failuresToClear = 5
+)
+
+// Peer is a host to which a link leads.
+type Peer struct {
+	Name    mustardramp.HostName
+	Address netip.AddrPort
+	Place   mustardramp.Place
+}
+
+// Send is a request to be made to a peer. Each ends with Done or Failed.
+type Send struct {
+	To      Peer
+	Request *Request
+}
+
+// Node decides what a host sends to its peers. It is a pure state: it has no
+// clock and does no I/O, and its methods are called by one goroutine at a time.
+type Node struct {
+	name   mustardramp.HostName
+	random *rand.Rand
+	budget *budget
+	store  store
+	packer packer
+	// links holds the peers that this host calls.
+	links map[mustardramp.HostName]*peerLink
+	// order lists the links' names, sorted, so that decisions are repeatable.
+	order    []mustardramp.HostName
+	expected map[ref]expectation
+	// fetcher is the link that compares digests in full, or nil: one link does
+	// so at a time, so that nothing is fetched twice.
+	fetcher *peerLink
+	ready   readiness
+}
+
+// expectation is a record that a peer was asked for.
+type expectation struct {
+	version mustardramp.Version
+	until   time.Time
+}
+
+// peerLink is the state of the link to one peer.
+type peerLink struct {
+	peer Peer
+	out  outbox
+	// busy is set while a request is under way: there is one at a time.
+	busy bool
+	// at is when the next request may be made, idle when it must be made.
+	at   time.Time
+	idle time.Time
+	// failures counts failed requests in a row.
+	failures int
+	// differs counts, by kind, how often in a row the digests differed.
+	differs [comparedKinds]int
+	// fetch is the next range to ask for, or nil.
+	fetch *Fetch
+	// fresh is set until the first response.
+	fresh bool
+}
+
+// NewNode returns a node with an empty store. A rate of 0 is DefaultRate.
+func NewNode(name mustardramp.HostName, seed uint64, bytesPerSecond mustardramp.Bytes) *Node {
+	return &Node{
+		name:     name,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		budget:   newBudget(bytesPerSecond),
+		links:    make(map[mustardramp.HostName]*peerLink),
+		expected: make(map[ref]expectation),
+	}
+}
+
+// SetLinks replaces the peers that this host calls.
+func (n *Node) SetLinks(now time.Time, peers []Peer) {
+	keep := make(map[mustardramp.HostName]bool, len(peers))
+	for _, p := range peers {
+		keep[p.Name] = true
+		if l, ok := n.links[p.Name]; ok && l.peer == p {
+			continue
+		}
+		n.release(n.links[p.Name])
+		n.links[p.Name] = &peerLink{peer: p, at: now, idle: now, fresh: true}
+	}
+	n.order = n.order[:0]
+	for name := range n.links {
+		if !keep[name] {
+			n.release(n.links[name])
+			delete(n.links, name)
+			continue
+		}
+		n.order = append(n.order, name)
+	}
+	slices.Sort(n.order)
+}
+
+// Offer merges records made at this host. It returns those that are news.
+func (n *Node) Offer(now time.Time, records ...mustardramp.Record) []mustardramp.Record {
+	return n.merge(now, "", records)
+}
+
+// merge keeps the newer records and lists them for the links, except the one
+// that they came over.
+func (n *Node) merge(now time.Time, from mustardramp.HostName, records []mustardramp.Record) []mustardramp.Record {
+	var news []mustardramp.Record
+	for _, r := range records {
+		at := refOf(r)
+		if n.store.merge(r) {
+			news = append(news, r)
+			n.spread(now, from, at)
+		}
+		if l := n.links[from]; l != nil && !n.store.version(at).After(r.Version) {
+			l.out.remove(at)
+		}
+		if e, ok := n.expected[at]; ok && !e.version.After(n.store.version(at)) {
+			delete(n.expected, at)
+		}
+	}
+	slices.SortFunc(news, compareRecords)
+	return news
+}
+
+// spread lists a record for the links that pass it on. A long one is offered
+// over one link after the other: most peers then have it from elsewhere, so that
+// its source need not send a copy over each link.
+func (n *Node) spread(now time.Time, from mustardramp.HostName, at ref) {
+	var pause time.Duration
+	if r, _ := n.store.get(at); recordBytes(r) > pushBytes {
+		pause = offerStagger
+	}
+	limit := len(n.order)
+	if at.kind >= comparedKinds {
+		limit = summaryLinks
+	}
+	picked := 0
+	for _, i := range n.random.Perm(len(n.order)) {
+		if name := n.order[i]; name != from && picked < limit {
+			n.links[name].out.put(at, outItem{due: now.Add(time.Duration(picked) * pause)})
+			picked++
+		}
+	}
+}
+
+// Poll returns the requests to make now, and when to poll again if nothing
+// happens before.
+func (n *Node) Poll(now time.Time) ([]Send, time.Time) {
+	var sends []Send
+	next := now.Add(heartbeat)
+	for _, name := range n.order {
+		l := n.links[name]
+		if l.busy {
+			continue
+		}
+		if due := l.due(); due.After(now) {
+			next = earlier(next, due)
+			continue
+		}
+		if r := n.request(now, l); r != nil {
+			l.busy = true
+			sends = append(sends, Send{To: l.peer, Request: r})
+			continue
+		}
+		// The budget holds the news back.
+		l.at = now.Add(offerPause)
+		next = earlier(next, l.at)
+	}
+	return sends, next
+}
+
+// due returns when the link has something to send.
+func (l *peerLink) due() time.Time {
+	due := l.idle
+	if first, ok := l.out.next(); ok {
+		due = earlier(due, first)
+	}
+	if l.fetch != nil {
+		due = l.at
+	}
+	if due.Before(l.at) {
+		return l.at
+	}
+	return due
+}
+
+// request fills a request for the link, or returns nil when it would carry
+// nothing.
+func (n *Node) request(now time.Time, l *peerLink) *Request {
+	r := &Request{From: n.name, Ready: n.ready.is, Sums: n.Sums(), Fetch: l.fetch}
+	heartbeatDue := !l.idle.After(now)
+	r.Compare = n.fetcher == nil && heartbeatDue && l.suspicious()
+	if r.Compare {
+		n.fetcher = l
+	}
+	n.fill(now, l, r)
+	if len(r.sent) == 0 && r.Fetch == nil && !heartbeatDue {
+		return nil
+	}
+	l.fetch = nil
+	n.budget.force(now, (&Request{Fetch: r.Fetch}).size())
+	return r
+}
+
+// release lets another link compare digests.
+func (n *Node) release(l *peerLink) {
+	if l != nil && n.fetcher == l {
+		n.fetcher = nil
+	}
+}
+
+// suspicious reports whether the digests should be compared in full.
+func (l *peerLink) suspicious() bool {
+	if l.fresh {
+		return true
+	}
+	for _, times := range l.differs {
+		if times > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// fill moves records from the link's list to the request as the budget allows.
+func (n *Node) fill(now time.Time, l *peerLink, r *Request) {
+	var news []mustardramp.Record
+	size := 0
+	l.out.each(now, func(at ref, item outItem) bool {
+		record, held := n.store.get(at)
+		if !held {
+			l.out.remove(at)
+			return true
+		}
+		length := recordBytes(record)
+		short := length <= pushBytes || item.wanted
+		if !short {
+			length = stubBytes
+		}
+		if size > 0 && size+length > requestBytes || !n.allow(now, at.kind, length) {
+			return false
+		}
+		size += length
+		if short {
+			news = append(news, record)
+		} else {
+			r.Have = append(r.Have, Stub{Kind: at.kind, ID: at.id, Version: record.Version})
+		}
+		r.sent = append(r.sent, at)
+		l.out.remove(at)
+		return true
+	})
+	if len(news) == 0 {
+		return
+	}
+	packed, err := n.packer.pack(news)
+	if err != nil {
+		return
+	}
+	r.News = packed
+}
+
+// recordBytes returns about the length of a record in a message.
+func recordBytes(r mustardramp.Record) int {
+	return len(r.Key) + len(r.Payload) + stubBytes
+}
+
+func (n *Node) allow(now time.Time, kind mustardramp.RecordKind, length int) bool {
+	cost := length * 4 / 3
+	if kind < comparedKinds {
+		return n.budget.allowNews(now, cost)
+	}
+	return n.budget.allowSummary(now, cost)
+}
+
+// Sums returns the digests of the compared kinds.
+func (n *Node) Sums() Sums {
+	var s Sums
+	for k := range s {
+		s[k] = n.store.kinds[k].sum
+	}
+	return s
+}
+
+// Newest returns the newest index of a change that the host holds.
+func (n *Node) Newest() mustardramp.Index {
+	return mustardramp.Index(n.store.kinds[mustardramp.RecordChange].newest)
+}
+
+// Records returns a kind's records, oldest version first.
+func (n *Node) Records(kind mustardramp.RecordKind) []mustardramp.Record {
+	return n.store.list(kind)
+}
+
+// Spent returns the bytes that the budget has been charged with.
+func (n *Node) Spent() mustardramp.Bytes {
+	return n.budget.spent
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
