--- a/internal/exchange/budget.go
+++ b/internal/exchange/budget.go
@@ -24,12 +24,14 @@
 	reserveShare = 1.0 / 4
 	// frameBytes is the cost of a message beside its payload.
 	frameBytes = 100
+	// wirePerByte is the length on the wire of a byte of payload, which JSON
+	// carries in base64.
+	wirePerByte = 4.0 / 3
 )
 
-// wireBytes returns the length on the wire of a payload, which JSON carries in
-// base64.
+// wireBytes returns the length of a message with a payload on the wire.
 func wireBytes(payload int) int {
-	return payload*4/3 + frameBytes
+	return int(float64(payload)*wirePerByte) + frameBytes
 }
 
 // budget bounds the bytes that a host sends: over any span it sends at most
@@ -63,14 +65,28 @@
 	b.news.ReserveN(now, min(n, b.news.Burst()))
 }
 
-// allowNews spends bytes for changes and statements.
-func (b *budget) allowNews(now time.Time, n int) bool {
-	return b.spend(b.news.AllowN(now, n) || b.summaries.AllowN(now, n), n)
+// forNews returns how many bytes may be spent on changes and statements, forSummaries
+// on summaries.
+func (b *budget) forNews(now time.Time) float64 {
+	return max(0, b.news.TokensAt(now)) + b.forSummaries(now)
 }
 
-// allowSummary spends bytes for summaries.
-func (b *budget) allowSummary(now time.Time, n int) bool {
-	return b.spend(b.summaries.AllowN(now, n), n)
+func (b *budget) forSummaries(now time.Time) float64 {
+	return max(0, b.summaries.TokensAt(now))
+}
+
+// spendNews spends bytes on changes and statements, from the share of the
+// summaries when their own is spent.
+func (b *budget) spendNews(now time.Time, n int) {
+	borrowed := min(max(0, n-int(b.news.TokensAt(now))), int(b.forSummaries(now)))
+	b.spendSummaries(now, borrowed)
+	b.force(now, n-borrowed)
+}
+
+// spendSummaries spends bytes on summaries.
+func (b *budget) spendSummaries(now time.Time, n int) {
+	b.spent += mustardramp.Bytes(n)
+	b.summaries.ReserveN(now, min(n, b.summaries.Burst()))
 }
 
 // pageBytes returns how many bytes a page of a catch-up may have.
@@ -84,10 +100,3 @@
 	used := 1 - b.news.TokensAt(now)/float64(b.news.Burst())
 	return batchPause + time.Duration(min(1, max(0, used))*float64(longBatchPause-batchPause))
 }
-
-func (b *budget) spend(allowed bool, n int) bool {
-	if allowed {
-		b.spent += mustardramp.Bytes(n)
-	}
-	return allowed
-}
--- /dev/null
+++ b/internal/exchange/fleet_test.go
@@ -0,0 +1,191 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/membership"
+)
+
+// A leaving backend must be known to leave at every host within 3 s.
+const leavingBound = 3 * time.Second
+
+type direction = [2]mustardramp.HostName
+
+func TestLeavingIsKnownEverywhere(t *testing.T) {
+	cases := map[string]struct {
+		loss  float64
+		fault func(m *mesh)
+	}{
+		"no fault":          {},
+		"a tenth lost":      {loss: 0.1},
+		"a fifth lost":      {loss: 0.2},
+		"control hosts out": {loss: 0.1, fault: func(m *mesh) { m.lose(0, 1, 2, 3, 4) }},
+		"one-way cuts":      {fault: func(m *mesh) { m.cutSome(0.15) }},
+		"one-way cuts and a tenth lost": {loss: 0.1, fault: func(m *mesh) {
+			m.cutSome(0.1)
+		}},
+		"a bridge host out": {fault: func(m *mesh) { m.lose(m.bridge()) }},
+		"regions joined one way": {fault: func(m *mesh) {
+			m.cutRegions("siliguri", "kolkata", 3)
+		}},
+	}
+	for test, tc := range cases {
+		t.Run(test, func(t *testing.T) {
+			for seed := range uint64(*seeds) {
+				m := newMesh(t, seed, 40)
+				m.loss = tc.loss
+				if tc.fault != nil {
+					tc.fault(m)
+				}
+				known := map[mustardramp.HostName]bool{}
+				m.heard = func(host mustardramp.HostName, r mustardramp.Record) {
+					known[host] = known[host] || r.Kind == mustardramp.RecordBackend
+				}
+				m.offer(name(9), mustardramp.Record{
+					Kind: mustardramp.RecordBackend, Key: "patha/10.1.0.1:80",
+					Version: mustardramp.Version{Epoch: 4, Sequence: 2}, Payload: make([]byte, 120),
+				})
+				m.run(leavingBound)
+				for _, host := range m.names {
+					if !known[host] && !m.down[host] {
+						t.Errorf("seed %d: %s does not know after %v", seed, host, leavingBound)
+					}
+				}
+			}
+		})
+	}
+}
+
+func (m *mesh) lose(numbers ...int) {
+	for _, i := range numbers {
+		m.down[name(i)] = true
+	}
+}
+
+// cutSome cuts a share of the directions between hosts.
+func (m *mesh) cutSome(share float64) {
+	for _, a := range m.names {
+		for _, b := range m.names {
+			if a != b && m.random.Float64() < share {
+				m.cut[direction{a, b}] = true
+			}
+		}
+	}
+}
+
+// bridge returns the number of a host that holds a link across regions.
+func (m *mesh) bridge() int {
+	for i := range m.names {
+		if i == 9 {
+			continue
+		}
+		for _, p := range m.nodes[name(i)].Members.Peers(m.now) {
+			if p.Place.Region != zones[i%len(zones)].Region {
+				return i
+			}
+		}
+	}
+	m.t.Fatal("no bridge")
+	return 0
+}
+
+// cutRegions cuts the direction between two regions except to some hosts.
+func (m *mesh) cutRegions(from, to mustardramp.Region, except int) {
+	for i, a := range m.names {
+		for j, b := range m.names {
+			if zones[i%len(zones)].Region != from || zones[j%len(zones)].Region != to {
+				continue
+			}
+			if j >= except*len(zones) {
+				m.cut[direction{a, b}] = true
+			}
+		}
+	}
+}
+
+func standingOf(m *mesh, at, of int) membership.Standing {
+	for _, member := range m.nodes[name(at)].Members.List() {
+		if member.Host.Name == name(of) {
+			return member.Standing
+		}
+	}
+	return membership.Lost
+}
+
+func TestLostHostIsLostEverywhere(t *testing.T) {
+	m := newMesh(t, 1, 40)
+	m.lose(7, 8)
+	m.run(10 * time.Second)
+	for i := range m.names {
+		for _, lost := range []int{7, 8} {
+			if got := standingOf(m, i, lost); got != membership.Lost && !m.down[name(i)] {
+				t.Errorf("%s takes %s for %v, want lost", name(i), name(lost), got)
+			}
+		}
+	}
+	m.join(7, 99)
+	m.run(5 * time.Second)
+	for i := range m.names {
+		if got := standingOf(m, i, 7); i != 7 && i != 8 && got != membership.Alive {
+			t.Errorf("%s takes the restarted %s for %v, want alive", name(i), name(7), got)
+		}
+	}
+}
+
+// A host that a few others cannot reach is not lost while the rest reaches it.
+func TestBadPathsDoNotLoseAHost(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		m := newMesh(t, seed, 40)
+		m.loss = 0.05
+		for _, a := range []int{0, 1, 2, 11, 12, 20} {
+			m.cut[direction{name(a), name(5)}] = true
+		}
+		for range 20 {
+			m.run(time.Second)
+			for i := range m.names {
+				if got := standingOf(m, i, 5); i != 5 && got == membership.Lost {
+					t.Fatalf("seed %d: %s takes %s for lost", seed, name(i), name(5))
+				}
+			}
+		}
+	}
+}
+
+func TestRegionsFindEachOtherAgain(t *testing.T) {
+	m := newMesh(t, 2, 20)
+	m.cutRegions("kolkata", "siliguri", 0)
+	m.cutRegions("siliguri", "kolkata", 0)
+	m.run(time.Minute)
+	m.offer(name(0), change("patha", 3, 1000))
+	m.offer(name(2), change("mohor", 4, 1000))
+	m.run(time.Minute)
+	clear(m.cut)
+	m.run(30 * time.Second)
+	want := m.nodes[name(0)].Node.State()
+	if got := len(m.nodes[name(0)].Node.Records(mustardramp.RecordChange)); got != 2 {
+		t.Errorf("got %d changes, want 2", got)
+	}
+	for i, host := range m.names {
+		if got := m.nodes[host].Node.State(); got != want {
+			t.Errorf("%s: got %v, want %v", host, got, want)
+		}
+		for j := range m.names {
+			if got := standingOf(m, i, j); i != j && got != membership.Alive {
+				t.Errorf("%s takes %s for %v, want alive", host, name(j), got)
+			}
+		}
+	}
+}
+
+func TestDrainingIsKnown(t *testing.T) {
+	m := newMesh(t, 1, 12)
+	m.deliver(name(4), m.nodes[name(4)].Drain(m.now))
+	m.run(leavingBound)
+	for i := range m.names {
+		if got := standingOf(m, i, 4); i != 4 && got != membership.Draining {
+			t.Errorf("%s takes %s for %v, want draining", name(i), name(4), got)
+		}
+	}
+}
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -25,8 +25,10 @@
 	// expects it from elsewhere.
 	offerPause = 250 * time.Millisecond
 	// offerStagger is the pause between the links over which a long record is
-	// offered.
+	// offered; it grows with each staggerBytes up to maxStagger.
 	offerStagger = 40 * time.Millisecond
+	staggerBytes = 4 << 10
+	maxStagger   = time.Second
 	// expectTime is for how long an asked-for record is not asked for again.
 	expectTime = 600 * time.Millisecond
 	// expectLimit is the number of expectations from which old ones are dropped.
@@ -138,6 +140,12 @@
 	return n.merge(now, "", records)
 }
 
+// Forget drops a record that is no longer needed. Its version and older ones
+// are not taken in again for a time.
+func (n *Node) Forget(now time.Time, kind mustardramp.RecordKind, key string) {
+	n.store.forget(now, refOf(mustardramp.Record{Kind: kind, Key: key}))
+}
+
 // merge keeps the newer records and lists them for the links, except the one
 // that they came over.
 func (n *Node) merge(now time.Time, from mustardramp.HostName, records []mustardramp.Record) []mustardramp.Record {
@@ -163,10 +171,8 @@
 // over one link after the other: most peers then have it from elsewhere, so that
 // its source need not send a copy over each link.
 func (n *Node) spread(now time.Time, from mustardramp.HostName, at ref) {
-	var pause time.Duration
-	if r, _ := n.store.get(at); recordBytes(r) > pushBytes {
-		pause = offerStagger
-	}
+	r, _ := n.store.get(at)
+	pause := stagger(recordBytes(r))
 	limit := len(n.order)
 	if at.kind >= comparedKinds {
 		limit = summaryLinks
@@ -180,6 +186,14 @@
 	}
 }
 
+// stagger returns the pause between the links over which a record is offered.
+func stagger(length int) time.Duration {
+	if length <= pushBytes {
+		return 0
+	}
+	return min(maxStagger, offerStagger*time.Duration(1+length/staggerBytes))
+}
+
 // Poll returns the requests to make now, and when to poll again if nothing
 // happens before.
 func (n *Node) Poll(now time.Time) ([]Send, time.Time) {
@@ -261,40 +275,85 @@
 
 // fill moves records from the link's list to the request as the budget allows.
 func (n *Node) fill(now time.Time, l *peerLink, r *Request) {
-	var news []mustardramp.Record
-	size := 0
+	load := n.newLoad(now)
 	l.out.each(now, func(at ref, item outItem) bool {
 		record, held := n.store.get(at)
 		if !held {
 			l.out.remove(at)
 			return true
 		}
-		length := recordBytes(record)
-		short := length <= pushBytes || item.wanted
-		if !short {
-			length = stubBytes
-		}
-		if size > 0 && size+length > requestBytes || !n.allow(now, at.kind, length) {
-			return false
-		}
-		size += length
-		if short {
-			news = append(news, record)
-		} else {
+		if recordBytes(record) > pushBytes && !item.wanted {
+			if !load.take(at.kind, stubBytes, 1) {
+				return false
+			}
 			r.Have = append(r.Have, Stub{Kind: at.kind, ID: at.id, Version: record.Version})
+		} else if load.take(at.kind, recordBytes(record), n.packer.ratio()) {
+			load.news = append(load.news, record)
+		} else {
+			return false
 		}
 		r.sent = append(r.sent, at)
 		l.out.remove(at)
 		return true
 	})
-	if len(news) == 0 {
-		return
+	if len(load.news) > 0 {
+		packed, err := n.packer.pack(load.news)
+		if err != nil {
+			return
+		}
+		r.News = packed
 	}
-	packed, err := n.packer.pack(news)
-	if err != nil {
+	load.spend(now, n.budget, len(r.News)+stubBytes*len(r.Have))
+}
+
+// load collects what one request carries.
+type load struct {
+	news []mustardramp.Record
+	// size is the length before compression, summaries the part of it that
+	// summaries have.
+	size      int
+	summaries int
+	// left and leftForSummaries are the bytes on the wire that the budget
+	// still allows.
+	left             float64
+	leftForSummaries float64
+}
+
+func (n *Node) newLoad(now time.Time) *load {
+	return &load{left: n.budget.forNews(now), leftForSummaries: n.budget.forSummaries(now)}
+}
+
+// take reports whether the load may have another record, of which a share is
+// expected to remain after compression.
+func (l *load) take(kind mustardramp.RecordKind, length int, ratio float64) bool {
+	if l.size > 0 && l.size+length > requestBytes {
+		return false
+	}
+	cost := float64(length) * ratio * wirePerByte
+	left := &l.left
+	if kind >= comparedKinds {
+		left = &l.leftForSummaries
+	}
+	if cost > *left {
+		return false
+	}
+	*left -= cost
+	l.size += length
+	if kind >= comparedKinds {
+		l.summaries += length
+	}
+	return true
+}
+
+// spend charges the budget with the bytes that the load has on the wire.
+func (l *load) spend(now time.Time, b *budget, packed int) {
+	if l.size == 0 {
 		return
 	}
-	r.News = packed
+	cost := float64(packed) * wirePerByte
+	summaries := cost * float64(l.summaries) / float64(l.size)
+	b.spendNews(now, int(cost-summaries))
+	b.spendSummaries(now, int(summaries))
 }
 
 // recordBytes returns about the length of a record in a message.
@@ -302,14 +361,6 @@
 	return len(r.Key) + len(r.Payload) + stubBytes
 }
 
-func (n *Node) allow(now time.Time, kind mustardramp.RecordKind, length int) bool {
-	cost := length * 4 / 3
-	if kind < comparedKinds {
-		return n.budget.allowNews(now, cost)
-	}
-	return n.budget.allowSummary(now, cost)
-}
-
 // Sums returns the digests of the compared kinds.
 func (n *Node) Sums() Sums {
 	var s Sums
--- a/internal/exchange/pack.go
+++ b/internal/exchange/pack.go
@@ -23,6 +23,8 @@
 const (
 	// compressFrom is the length from which records are compressed.
 	compressFrom = 256
+	// savedWeight is the weight of the newest length in the expected saving.
+	savedWeight = 0.25
 	// unpackLimit bounds what packed records may unpack to.
 	unpackLimit = 16 << 20
 )
@@ -32,6 +34,15 @@
 type packer struct {
 	w *flate.Writer
 	r io.ReadCloser
+	// saved is the share of the last compressed lengths that compression
+	// saved, from 0 to 1.
+	saved float64
+}
+
+// ratio returns the share of a length that is expected to remain after
+// compression.
+func (p *packer) ratio() float64 {
+	return 1 - p.saved
 }
 
 // pack encodes records.
@@ -48,6 +59,8 @@
 	if err := p.compress(&out, plain); err != nil {
 		return nil, ErrPack.Wrap(err)
 	}
+	saved := max(0, 1-float64(out.Len())/float64(len(plain)))
+	p.saved += (saved - p.saved) * savedWeight
 	return out.Bytes(), nil
 }
 
--- a/internal/exchange/store.go
+++ b/internal/exchange/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,6 +14,9 @@
 // bucketCount is the number of digests into which a kind's keys are divided.
 const bucketCount = 64
 
+// graveTime is for how long the version of a forgotten key is remembered.
+const graveTime = time.Hour
+
 // ref names a key of a kind by the key's hash.
 type ref struct {
 	kind mustardramp.RecordKind
@@ -39,6 +43,14 @@
 	sum     uint64
 	count   int
 	newest  uint64
+	// graves holds the versions of forgotten keys, so that hosts that forget
+	// later do not bring them back.
+	graves map[uint64]grave
+}
+
+type grave struct {
+	version mustardramp.Version
+	since   time.Time
 }
 
 // digest returns a number that differs between versions of a key.
@@ -58,6 +70,9 @@
 	}
 	at := refOf(r)
 	k, b := &s.kinds[r.Kind], at.bucket()
+	if g, buried := k.graves[at.id]; buried && !r.Version.After(g.version) {
+		return false
+	}
 	old, held := k.buckets[b][at.id]
 	if held && !r.Version.After(old.Version) {
 		return false
@@ -86,20 +101,33 @@
 	return r, ok
 }
 
-// drop forgets a key.
-func (s *store) drop(at ref) {
+// forget drops a key and remembers its version for a time.
+func (s *store) forget(now time.Time, at ref) {
 	k, b := &s.kinds[at.kind], at.bucket()
-	if r, ok := k.buckets[b][at.id]; ok {
-		k.add(b, -digest(at.id, r.Version))
-		delete(k.buckets[b], at.id)
-		k.count--
+	for id, g := range k.graves {
+		if now.Sub(g.since) > graveTime {
+			delete(k.graves, id)
+		}
+	}
+	r, ok := k.buckets[b][at.id]
+	if !ok {
+		return
 	}
+	k.add(b, -digest(at.id, r.Version))
+	delete(k.buckets[b], at.id)
+	k.count--
+	if k.graves == nil {
+		k.graves = make(map[uint64]grave)
+	}
+	k.graves[at.id] = grave{r.Version, now}
 }
 
-// version returns the version held of a key, or the zero version.
+// version returns the version held or forgotten of a key, or the zero version.
 func (s *store) version(at ref) mustardramp.Version {
-	r, _ := s.get(at)
-	return r.Version
+	if r, ok := s.get(at); ok {
+		return r.Version
+	}
+	return s.kinds[at.kind].graves[at.id].version
 }
 
 // list returns a kind's records, oldest version first.
