Drop a link's connection after a failed write

Cause: TestSilentConnectionIsReplaced failed once in one run: after a write ran out of time the client kept the closed connection for one more call. Change: a lost call drops its connection unless the call itself was given up or the connection answered others meanwhile. Conclusion: the next call dials anew.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -84,12 +84,21 @@
 	if err == nil {
 		return result, nil
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && c.Traffic.heard.Load() == heard {
-		// A connection on which nothing arrived during a whole call is taken
-		// for dead, so that the next call tries a new one.
+	err = classify(err)
+	if ErrLost.Has(err) && c.isDead(ctx, heard) {
 		c.drop(conn)
 	}
-	return nil, classify(err)
+	return nil, err
+}
+
+// isDead reports whether the connection of a lost call is of no more use. While
+// other calls are answered, a call that ran out of time or was given up may
+// have been at fault itself.
+func (c *Client) isDead(ctx context.Context, heard int64) bool {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	return ctx.Err() == nil || c.Traffic.heard.Load() == heard
 }
 
 func classify(err error) error {
