--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -69,6 +69,7 @@
 	}
 	if x.route != nil {
 		r.Rank = x.route.Rank
+		r.Idempotent = x.route.Idempotent()
 	}
 	if len(x.tried) > 0 {
 		r.Backend = x.tried[len(x.tried)-1]
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,9 @@
 
 // Size says how large the fleet is.
 type Size struct {
+	// Profile names the users whose contracts and places the fleet has:
+	// "sutradhar" or "nordavind". Empty stands for the first.
+	Profile  string
 	Control  int
 	Entry    int
 	Backends int
@@ -57,6 +60,8 @@
 
 	contracts []registry.File
 	folder    string
+	profile   string
+	places    []mustardramp.Place
 }
 
 // Backend is one stand-in with its address and announcer.
@@ -69,17 +74,33 @@
 	listener net.Listener
 }
 
-var places = []mustardramp.Place{
-	{Zone: "kol-a", Region: "kolkata"},
-	{Zone: "kol-b", Region: "kolkata"},
-	{Zone: "sil-a", Region: "siliguri"},
-	{Zone: "sil-b", Region: "siliguri"},
+const defaultProfile = "sutradhar"
+
+var placesOf = map[string][]mustardramp.Place{
+	"sutradhar": {
+		{Zone: "kol-a", Region: "kolkata"},
+		{Zone: "sil-a", Region: "siliguri"},
+		{Zone: "kol-b", Region: "kolkata"},
+		{Zone: "sil-b", Region: "siliguri"},
+	},
+	"nordavind": {
+		{Zone: "rygge-1", Region: "austland"},
+		{Zone: "evenes-1", Region: "nordnorge"},
+		{Zone: "torp-2", Region: "austland"},
+		{Zone: "andoya-2", Region: "nordnorge"},
+	},
 }
 
 // New opens all listeners of a fleet. The folder holds the control hosts'
 // state; it is made when it is empty, and removed by Close then.
 func New(size Size) (*Fleet, error) {
-	f := &Fleet{}
+	if size.Profile == "" {
+		size.Profile = defaultProfile
+	}
+	f := &Fleet{profile: size.Profile, places: placesOf[size.Profile]}
+	if f.places == nil {
+		return nil, fmt.Errorf("unknown profile %q", size.Profile)
+	}
 	folder, err := os.MkdirTemp("", "mustardramp-try-")
 	if err != nil {
 		return nil, err
@@ -111,7 +132,7 @@
 		members[i] = setting.Member{
 			Name:    mustardramp.HostName(fmt.Sprintf("control-%d", i+1)),
 			Address: address,
-			Place:   places[i%len(places)],
+			Place:   f.places[i%len(f.places)],
 		}
 	}
 	for _, m := range members {
@@ -139,7 +160,7 @@
 		e, err := host.NewEntry(host.EntryConfig{
 			Common: host.Common{
 				Name:  mustardramp.HostName(fmt.Sprintf("entry-%d", i+1)),
-				Place: places[i%len(places)], Link: loopback(), Admin: loopback(),
+				Place: f.places[i%len(f.places)], Link: loopback(), Admin: loopback(),
 				AdminToken: AdminToken, Control: f.members(),
 			},
 			Listen: loopback(), Announce: loopback(), AnnounceToken: AnnounceToken,
@@ -155,7 +176,7 @@
 }
 
 func (f *Fleet) openBackends(each int) error {
-	contracts, err := exampleContracts()
+	contracts, err := exampleContracts(f.profile)
 	if err != nil {
 		return err
 	}
@@ -178,7 +199,7 @@
 		return nil, err
 	}
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
-	place := places[i%len(places)]
+	place := f.places[i%len(f.places)]
 	b := &Backend{Service: c.Service, Address: address, listener: listener}
 	b.Name = fmt.Sprintf("%s-%d", c.Service, i+1)
 	b.Slots = int(c.Slots)
@@ -197,9 +218,9 @@
 	return b, nil
 }
 
-func exampleContracts() ([]*contract.Contract, error) {
+func exampleContracts(profile string) ([]*contract.Contract, error) {
 	var out []*contract.Contract
-	err := fs.WalkDir(examples.Contracts, ".", func(name string, d fs.DirEntry, err error) error {
+	err := fs.WalkDir(examples.Contracts, profile, func(name string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() {
 			return err
 		}
--- a/pkg/cmd/fleet/try/print.go
+++ b/pkg/cmd/fleet/try/print.go
@@ -7,6 +7,17 @@
 	"github.com/mustardramp/mustardramp/internal/fleet"
 )
 
+// call names the requests that the printed commands make.
+type call struct {
+	readHost, readPath string
+	onceHost, oncePath string
+}
+
+var calls = map[string]call{
+	"sutradhar": {"patha.sutradhar.example", "/transcripts/118", "mohor.sutradhar.example", "/certifications"},
+	"nordavind": {"oppslag.nordavind.example", "/parts/118", "tildeling.nordavind.example", "/reservations"},
+}
+
 func (o *Options) print(f *fleet.Fleet, index mustardramp.Index) {
 	p := o.factory.Streams.Print
 	p("a fleet is running, configuration %d is in force\n\n", index)
@@ -15,10 +26,13 @@
 		p("  %-14s %-9s %s\n", row[0], row[1], row[2])
 	}
 	traffic := f.Entry[0].Traffic()
+	call := calls[o.Profile]
 	p("\nA call that succeeds:\n\n")
-	p("  curl -i -H 'Host: patha.sutradhar.example' http://%s/transcripts/118\n", traffic)
-	p("\nA call that is refused, because a certification needs a key:\n\n")
-	p("  curl -i -X POST -H 'Host: mohor.sutradhar.example' -H 'X-Request-Id: first-try' http://%s/certifications\n", traffic)
+	p("  curl -i -H 'Host: %s' http://%s%s\n", call.readHost, traffic, call.readPath)
+	p("\nA call that is refused, because once-only work needs a key:\n\n")
+	p("  curl -i -X POST -H 'Host: %s' -H 'X-Request-Id: first-try' http://%s%s\n", call.onceHost, traffic, call.oncePath)
+	p("\nThe same call with a key runs once, however often it is sent:\n\n")
+	p("  curl -i -X POST -H 'Host: %s' -H 'Idempotency-Key: first-key' http://%s%s\n", call.onceHost, traffic, call.oncePath)
 	p("\nWhy was it refused, and did it run?\n\n")
 	p("  go run ./cmd/mustardramp refusal why first-try --admin %s --token %s\n", f.Entry[0].Admin(), fleet.AdminToken)
 	p("\nThe fleet at a glance:\n\n")
--- a/pkg/cmd/fleet/try/try.go
+++ b/pkg/cmd/fleet/try/try.go
@@ -16,6 +16,7 @@
 
 // Options are the flags of fleet try.
 type Options struct {
+	Profile  string        `help:"Whose contracts and places: sutradhar or nordavind." enum:"sutradhar,nordavind" default:"sutradhar"`
 	Control  int           `help:"Number of control hosts." default:"3"`
 	Entry    int           `help:"Number of entry hosts." default:"3"`
 	Backends int           `help:"Number of stand-in backends of each service." default:"4"`
@@ -38,7 +39,8 @@
 Examples:
 
   mustardramp fleet try
-  mustardramp fleet try --for 10s --entry 2`
+  mustardramp fleet try --for 10s --entry 2
+  mustardramp fleet try --profile nordavind`
 }
 
 // Run runs the fleet.
@@ -56,7 +58,7 @@
 		timer := time.AfterFunc(o.For, cancel)
 		defer timer.Stop()
 	}
-	f, err := fleet.New(fleet.Size{Control: o.Control, Entry: o.Entry, Backends: o.Backends})
+	f, err := fleet.New(fleet.Size{Profile: o.Profile, Control: o.Control, Entry: o.Entry, Backends: o.Backends})
 	if err != nil {
 		return err
 	}
