Settle the queue's charges by the slot time that was used

Change: a served request is billed the expected slot time and settled by the used one; shares are raised by a margin of 1.1 for the time between two leases; the queue tells how many requests are ahead of a new one.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -44,6 +44,21 @@
 	Expiry time.Time
 
 	line *line[T]
+	bill Bill
+}
+
+// Bill is what one served request was charged for its slot time. Its zero
+// value is a request that never waited.
+type Bill struct {
+	rank  mustardramp.Rank
+	price time.Duration
+	// paid is true when the rank was owed slot time and paid with it.
+	paid bool
+}
+
+// Bill returns the bill of an item that Next returned.
+func (i *Item[T]) Bill() Bill {
+	return i.bill
 }
 
 // line holds the requests of one caller, oldest first.
@@ -55,12 +70,16 @@
 // lane holds the requests of one rank.
 type lane[T any] struct {
 	terms Terms
+	// share is the share that is kept: that of the terms, raised.
+	share mustardramp.Percent
 	lines map[mustardramp.CallerName]*line[T]
 	// turns lists the lines that are not empty, the next to serve first.
 	turns []*line[T]
 	len   int
 	// credit is the slot time that the rank is owed.
 	credit time.Duration
+	// cost is the slot time of one request of the rank, as last stated.
+	cost time.Duration
 }
 
 // Queue holds the waiting requests of one service. Its zero value works, with
@@ -71,10 +90,23 @@
 	Drop func(*Item[T])
 }
 
+// margin raises the shares, to make up for the time in which slots are idle
+// between two requests.
+const margin = 1.1
+
 // Configure replaces the settings. Waiting requests stay.
 func (q *Queue[T]) Configure(terms [mustardramp.RankCount]Terms) {
+	var sum mustardramp.Percent
+	for r := range terms {
+		sum += terms[r].Share
+	}
+	raise := margin
+	if sum*margin > 100 {
+		raise = max(1, float64(100/sum))
+	}
 	for r := range q.lanes {
 		q.lanes[r].terms = terms[r]
+		q.lanes[r].share = terms[r].Share * mustardramp.Percent(raise)
 	}
 }
 
@@ -115,6 +147,20 @@
 	return 0
 }
 
+// Ahead returns the number of requests of a rank that are served before a new
+// one of a caller: its own, and one of each other caller for each turn. For a
+// caller that waits already it may be too high by one turn of the others.
+func (q *Queue[T]) Ahead(rank mustardramp.Rank, caller mustardramp.CallerName) int {
+	own := q.Waiting(rank, caller)
+	ahead := own
+	for _, ln := range q.lanes[rank].turns {
+		if ln.caller != caller {
+			ahead += min(len(ln.items), own+1)
+		}
+	}
+	return ahead
+}
+
 // Callers returns the number of callers that wait in a rank.
 func (q *Queue[T]) Callers(rank mustardramp.Rank) int {
 	return len(q.lanes[rank].turns)
@@ -137,7 +183,7 @@
 		l := &q.lanes[rank]
 		item := l.take(now, place, q.Drop)
 		if item != nil {
-			q.charge(rank, costs)
+			item.bill = q.charge(rank, costs)
 			return item
 		}
 	}
@@ -162,18 +208,41 @@
 	return order, n
 }
 
-// charge books the slot time of one served request: each rank earns its share,
-// and the served rank pays if it was owed any. A rank that is not owed any
-// pays nothing: what it got was free, and it must not start a flood in debt.
-func (q *Queue[T]) charge(served mustardramp.Rank, costs Costs) {
-	price := max(costs[served], leastCost)
-	if l := &q.lanes[served]; l.owed() {
-		l.credit -= price
+// charge books the expected slot time of one served request: each rank earns
+// its share, and the served rank pays if it was owed any. A rank that is not
+// owed any pays nothing: what it got was free, and it must not start a flood in
+// debt.
+func (q *Queue[T]) charge(served mustardramp.Rank, costs Costs) Bill {
+	for r := range q.lanes {
+		q.lanes[r].cost = max(costs[r], leastCost)
 	}
+	bill := Bill{rank: served, price: q.lanes[served].cost, paid: q.lanes[served].owed()}
+	q.book(bill, bill.price)
+	return bill
+}
+
+// Settle corrects the bill of a request by the slot time that it used. Without
+// it, a rank whose mean cost is overestimated would be served too rarely to
+// correct the mean.
+func (q *Queue[T]) Settle(bill Bill, used time.Duration) {
+	if bill.price == 0 {
+		return
+	}
+	q.book(bill, used-bill.price)
+}
+
+// book moves slot time between the ranks' credits. A credit stays within a
+// burst on either side of 0, so that neither a quiet time nor one long request
+// decides for long.
+func (q *Queue[T]) book(bill Bill, amount time.Duration) {
 	for r := range q.lanes {
 		l := &q.lanes[r]
-		earned := time.Duration(l.terms.Share.Of(float64(price)))
-		l.credit = min(l.credit+earned, burst*max(costs[r], leastCost))
+		bound := burst * max(l.cost, bill.price)
+		if bill.paid && mustardramp.Rank(r) == bill.rank {
+			l.credit -= amount
+		}
+		l.credit += time.Duration(l.share.Of(float64(amount)))
+		l.credit = max(-bound, min(l.credit, bound))
 	}
 }
 
