Keep leases near and state the length of queues

Cause: hosts asked keepers in the other region in a flood, and each such lease leaves its slot idle on the way: 6 % of the slot time was lost. Peers are called over links, each rank on a connection of its own.

--- a/internal/lease/choice.go
+++ b/internal/lease/choice.go
@@ -8,13 +8,9 @@
 	"github.com/mustardramp/mustardramp"
 )
 
-// fade is the time in which a stated wait halves, so that a keeper that was
-// busy is asked again.
-const fade = time.Second
-
 // reluctance weighs the waits at groups that are further away: in a flood all
 // queues are long, and a lease far away leaves its slot idle on the way.
-var reluctance = [...]float64{mustardramp.SameZone: 1, mustardramp.SameRegion: 1.5, mustardramp.AcrossRegions: 3}
+var reluctance = [...]float64{mustardramp.SameZone: 1, mustardramp.SameRegion: 3, mustardramp.AcrossRegions: 10}
 
 // detour is the wait that a nearer group is worth.
 var detour = [...]time.Duration{
@@ -45,7 +41,7 @@
 	s.at.Store(p.clock.Now().UnixNano())
 }
 
-// expected returns the wait of a rank at a group, in the present view.
+// expected returns the least wait of a rank at a group, as far as is known.
 func (p *Pool) expected(id GroupID, rank mustardramp.Rank, now int64) float64 {
 	value, ok := p.waits.Load(id)
 	if !ok {
@@ -56,7 +52,8 @@
 	if wait == 0 {
 		return 0
 	}
-	return float64(wait) * math.Exp2(-float64(now-s.at.Load())/float64(fade))
+	// A queue shrinks no faster than time passes.
+	return max(0, float64(wait-(now-s.at.Load())))
 }
 
 // choose returns the group where the demand is expected to start first, or nil.
--- a/internal/lease/desk.go
+++ b/internal/lease/desk.go
@@ -56,7 +56,7 @@
 		slot.Release(mustardramp.ResultAbandoned, 0)
 		return Grant{}, context.Canceled
 	}
-	return Grant{Backend: slot.Backend(), Wait: d.pool.Estimate(ask.Rank, ask.Caller)}, nil
+	return Grant{Backend: slot.Backend(), Wait: d.pool.Pressure(ask.Rank)}, nil
 }
 
 func (d *desk) denied(ask *Ask, err error) (Grant, error) {
@@ -64,7 +64,7 @@
 	if !ok {
 		return Grant{}, err
 	}
-	return Grant{Denial: denial, Wait: d.pool.Estimate(ask.Rank, ask.Caller)}, nil
+	return Grant{Denial: denial, Wait: d.pool.Pressure(ask.Rank)}, nil
 }
 
 // book turns an ask into a lease, unless it was withdrawn meanwhile.
--- /dev/null
+++ b/internal/lease/network.go
@@ -0,0 +1,137 @@
+package lease
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/link"
+)
+
+// The methods of the calls between hosts.
+const (
+	methodAsk    = "lease.ask"
+	methodReport = "lease.report"
+)
+
+// ErrPeer is the class of errors of calls to hosts and services that are not
+// known.
+var ErrPeer = errs.Class("lease peer")
+
+// Serve answers the asks and reports of other hosts. The function returns nil
+// for a service that has not started on this host.
+func Serve(router *link.Router, find func(mustardramp.ServiceName) *Pool) {
+	link.Handle(router, methodAsk, func(ctx context.Context, ask Ask) (Grant, error) {
+		p := find(ask.Service)
+		if p == nil {
+			return Grant{}, ErrPeer.New("service %s has not started on this host", ask.Service)
+		}
+		if ask.Rank >= mustardramp.RankCount {
+			return Grant{}, ErrPeer.New("unknown rank %d", ask.Rank)
+		}
+		return p.Grant(ctx, ask)
+	})
+	link.Handle(router, methodReport, func(_ context.Context, report Report) (struct{}, error) {
+		p := find(report.Service)
+		if p == nil {
+			return struct{}{}, ErrPeer.New("service %s has not started on this host", report.Service)
+		}
+		p.Take(report)
+		return struct{}{}, nil
+	})
+}
+
+// Network implements Peers by calls over links. Each rank has a connection of
+// its own to each host, and so have the reports: asks that wait for a slot
+// delay neither more valuable asks nor the reports that free slots.
+type Network struct {
+	// Find returns the address of a host's links.
+	Find func(mustardramp.HostName) (netip.AddrPort, bool)
+	// New returns a client; nil stands for a plain one.
+	New func(netip.AddrPort) *link.Client
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]*clients
+	closed  bool
+}
+
+var _ Peers = (*Network)(nil)
+
+// clients are the connections to one host.
+type clients struct {
+	ranks   [mustardramp.RankCount]*link.Client
+	reports *link.Client
+}
+
+// Ask implements Peers.
+func (n *Network) Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Grant, error) {
+	c, err := n.reach(host)
+	if err != nil {
+		return Grant{}, err
+	}
+	return link.Call[Grant](ctx, c.ranks[ask.Rank], methodAsk, ask)
+}
+
+// Report implements Peers.
+func (n *Network) Report(ctx context.Context, host mustardramp.HostName, report Report) error {
+	c, err := n.reach(host)
+	if err != nil {
+		return err
+	}
+	_, err = link.Call[struct{}](ctx, c.reports, methodReport, report)
+	return err
+}
+
+// Close ends all connections.
+func (n *Network) Close() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	var group errs.Group
+	for _, c := range n.clients {
+		for _, rank := range c.ranks {
+			group.Add(rank.Close())
+		}
+		group.Add(c.reports.Close())
+	}
+	n.clients = nil
+	return group.Err()
+}
+
+func (n *Network) reach(host mustardramp.HostName) (*clients, error) {
+	address, ok := n.Find(host)
+	if !ok {
+		return nil, ErrPeer.New("no address of host %s is known", host)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, ErrPeer.New("the network is closed")
+	}
+	if c := n.clients[address]; c != nil {
+		return c, nil
+	}
+	c := n.connect(address)
+	if n.clients == nil {
+		n.clients = map[netip.AddrPort]*clients{}
+	}
+	n.clients[address] = c
+	return c, nil
+}
+
+func (n *Network) connect(address netip.AddrPort) *clients {
+	create := n.New
+	if create == nil {
+		create = func(a netip.AddrPort) *link.Client { return &link.Client{Address: a} }
+	}
+	c := &clients{reports: create(address)}
+	for r := range c.ranks {
+		c.ranks[r] = create(address)
+		// An ask waits as long as its rank allows, which its context bounds.
+		c.ranks[r].Timeout = askTime
+	}
+	return c
+}
--- a/internal/lease/peer.go
+++ b/internal/lease/peer.go
@@ -24,6 +24,9 @@
 	until time.Time
 	// held are the asks and leases at the peer.
 	held map[Number]context.CancelCauseFunc
+	// waiting counts the asks by rank that are not answered yet; each is at
+	// most maxAsks.
+	waiting [mustardramp.RankCount]int
 	// returns wait to be sent.
 	returns []Return
 	// sending is true while a report is under way.
@@ -37,14 +40,26 @@
 	return !now.Before(p.until)
 }
 
-// begin notes an ask.
-func (p *peer) begin(n Number, cancel context.CancelCauseFunc) {
+// begin notes an ask, unless too many wait already.
+func (p *peer) begin(n Number, rank mustardramp.Rank, most int, cancel context.CancelCauseFunc) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.waiting[rank] >= most {
+		return false
+	}
+	p.waiting[rank]++
 	if p.held == nil {
 		p.held = map[Number]context.CancelCauseFunc{}
 	}
 	p.held[n] = cancel
+	return true
+}
+
+// answered notes that an ask does not wait any more.
+func (p *peer) answered(rank mustardramp.Rank) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting[rank]--
 }
 
 // end notes the end of an ask or a lease, and reports whether the caller must
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -10,6 +10,7 @@
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/pool"
+	"github.com/mustardramp/mustardramp/pkg/contract"
 )
 
 // Config describes a Pool. Without Peers the host keeps all groups itself.
@@ -28,6 +29,7 @@
 	config Config
 	clock  mustardramp.Clock
 	plan   atomic.Pointer[plan]
+	ranks  atomic.Pointer[[mustardramp.RankCount]contract.RankTerms]
 	next   atomic.Uint64
 	// waits holds what keepers said of their queues, by group.
 	waits sync.Map
@@ -41,6 +43,7 @@
 	terms     pool.Terms
 	standings []mustardramp.Standing
 	hosts     []Host
+	pressure  pressure
 }
 
 var _ mustardramp.Pool = (*Pool)(nil)
@@ -55,14 +58,21 @@
 		p.clock = mustardramp.SystemClock{}
 	}
 	p.plan.Store(&plan{})
+	p.setRanks(p.terms)
 	return p
 }
 
+func (p *Pool) setRanks(terms pool.Terms) {
+	ranks := terms.Ranks
+	p.ranks.Store(&ranks)
+}
+
 // Configure replaces the terms, as after a new revision of the contract.
 func (p *Pool) Configure(terms pool.Terms) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.terms = terms
+	p.setRanks(terms)
 	for _, d := range p.allDesks() {
 		d.pool.Configure(terms)
 	}
@@ -183,7 +193,7 @@
 	local := *demand
 	local.Tried = append(g.shunned[:len(g.shunned):len(g.shunned)], demand.Tried...)
 	held, err := d.pool.Acquire(ctx, local)
-	p.note(g.id, demand.Rank, d.pool.Estimate(demand.Rank, demand.Caller))
+	p.note(g.id, demand.Rank, d.pool.Pressure(demand.Rank))
 	if err != nil {
 		return nil, err
 	}
@@ -195,8 +205,11 @@
 	ask := p.newAsk(g, demand)
 	call, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	peer.begin(ask.Number, cancel)
+	if most := p.mostAsks(g, demand.Rank); !peer.begin(ask.Number, demand.Rank, most, cancel) {
+		return nil, p.pressed(g, peer, demand, most)
+	}
 	grant, err := p.config.Peers.Ask(call, peer.name, ask)
+	peer.answered(demand.Rank)
 	if err != nil {
 		// The keeper may grant it yet.
 		p.giveBack(peer, Return{Number: ask.Number, Result: mustardramp.ResultAbandoned})
@@ -255,6 +268,8 @@
 }
 
 const (
+	// askTime bounds one ask whose context has no earlier deadline.
+	askTime = time.Minute
 	// reportTime bounds one report.
 	reportTime = time.Second
 	// StepInterval is how often Step is to be called.
--- a/internal/pool/choice_bench_test.go
+++ b/internal/pool/choice_bench_test.go
@@ -24,10 +24,14 @@
 		{"round-robin", roundRobin},
 		{"random", random},
 		{"least-in-flight", leastInFlight},
+		{"threshold-100ms", threshold(100 * time.Millisecond)},
+		{"threshold-1s", threshold(time.Second)},
+		{"static", static},
 		{"two-choices", func(f *fleet) way { return local(f, nil) }},
 		{"least-filled", func(f *fleet) way { return local(f, LeastFilled{}) }},
-		{"leases", func(f *fleet) way { return keepers(f, false) }},
-		{"carriers", func(f *fleet) way { return keepers(f, true) }},
+		{"leases-untold", func(f *fleet) way { return keepers(f, false, nil) }},
+		{"leases", leases},
+		{"carriers", func(f *fleet) way { return keepers(f, true, every(tellInterval)) }},
 	}
 	for _, name := range []string{"patha", "mohor", "tildel", "arkivmot"} {
 		for _, load := range []int{50, 80, 95, 120} {
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -26,6 +26,7 @@
 	member  *member
 	rank    mustardramp.Rank
 	granted time.Time
+	bill    queue.Bill
 }
 
 // Backend returns the backend to send the attempt to.
@@ -125,9 +126,13 @@
 	if result == mustardramp.ResultGood {
 		c.learn(lease.rank, now.Sub(lease.granted))
 	}
-	if c.queued.Load() > 0 {
-		c.Poll(now)
+	if c.queued.Load() == 0 {
+		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.Settle(lease.bill, now.Sub(lease.granted))
+	c.dispatch(now)
 }
 
 // Poll gives free slots to waiting tickets. It is called when a hold ends,
@@ -220,7 +225,9 @@
 		}
 		c.queued.Add(-1)
 		c.drain.served(now, item.Added)
-		c.settle(item.Value, c.lease(now, m, item.Rank))
+		lease := c.lease(now, m, item.Rank)
+		lease.bill = item.Bill()
+		c.settle(item.Value, lease)
 	}
 }
 
--- a/internal/pool/fleet_test.go
+++ b/internal/pool/fleet_test.go
@@ -48,8 +48,10 @@
 	from, until time.Duration
 	tally       [mustardramp.RankCount]outcome
 	sheds       int
-	// work is the slot time used while requests were counted.
+	// work is the slot time used while requests were counted, and done the
+	// part of it that served a rank.
 	work     time.Duration
+	done     [mustardramp.RankCount]time.Duration
 	attempts int
 }
 
@@ -171,6 +173,9 @@
 }
 
 func (f *fleet) served(r *request) {
+	if now := f.clock.Elapsed(); now >= f.from && now < f.until {
+		f.done[r.rank] += r.work
+	}
 	if !r.counted {
 		return
 	}
@@ -229,11 +234,20 @@
 
 // use returns the share of slot time used while requests were counted.
 func (f *fleet) use() float64 {
+	return f.work.Seconds() / f.slotTime()
+}
+
+// useOf returns the share of slot time that served a rank.
+func (f *fleet) useOf(rank mustardramp.Rank) float64 {
+	return f.done[rank].Seconds() / f.slotTime()
+}
+
+func (f *fleet) slotTime() float64 {
 	slots := 0
 	for _, b := range f.backends {
 		slots += b.Slots
 	}
-	return f.work.Seconds() / (float64(slots) * (f.until - f.from).Seconds())
+	return float64(slots) * (f.until - f.from).Seconds()
 }
 
 // unaware sends each request at once to a backend that choose names.
@@ -304,8 +318,10 @@
 	places []mustardramp.Place
 	// pick returns the core for a request.
 	pick func(r *request) int
-	// told takes in the state that a core's answer brings to a host.
-	told    func(r *request, core int)
+	// hear takes in the state that a core's answer brings to a host.
+	hear func(r *request, core int)
+	// told counts the statements of waits to all hosts.
+	told    int
 	tickets map[*Ticket]func()
 	// carried attempts leave from the core's place, others from the host's
 	// once the lease has come back to it.
@@ -347,8 +363,8 @@
 }
 
 func (p *pooled) tell(r *request, core int) {
-	if p.told != nil {
-		p.told(r, core)
+	if p.hear != nil {
+		p.hear(r, core)
 	}
 }
 
@@ -424,17 +440,121 @@
 	}
 }
 
+// telling spreads the waits at cores to all hosts.
+type telling func(p *pooled, share func(core int, waits [mustardramp.RankCount]time.Duration))
+
+// every tells all waits at fixed intervals.
+func every(interval time.Duration) telling {
+	return func(p *pooled, share func(int, [mustardramp.RankCount]time.Duration)) {
+		var tell func()
+		tell = func() {
+			for i := range p.cores {
+				share(i, p.waits(i))
+				p.told++
+			}
+			if p.clock.Elapsed() < p.until {
+				p.clock.After(interval, tell)
+			}
+		}
+		p.clock.After(interval, tell)
+	}
+}
+
+func (p *pooled) waits(core int) (waits [mustardramp.RankCount]time.Duration) {
+	for _, r := range mustardramp.Ranks() {
+		waits[r] = p.cores[core].Pressure(r)
+	}
+	return waits
+}
+
 // told is the wait by rank that a core stated, and when.
 type told struct {
 	wait [mustardramp.RankCount]float64
 	at   [mustardramp.RankCount]time.Duration
 }
 
-// fade is the number of seconds in which a stated wait halves.
-const fade = 1
-
 // reluctance weighs the waits at cores that are further away.
-var reluctance = [distances]float64{1, 1.5, 3}
+var reluctance = [distances]float64{1, 3, 10}
+
+// static divides the slots among the hosts for good; a host without any uses
+// one slot of a backend that others use too.
+func static(f *fleet) way {
+	p := &pooled{fleet: f, tickets: map[*Ticket]func(){}, places: f.hosts, pick: func(r *request) int { return r.host }}
+	owned := make([]map[int]mustardramp.Slots, len(f.hosts))
+	for i := range owned {
+		owned[i] = map[int]mustardramp.Slots{}
+	}
+	turn := 0
+	for b, s := range f.standings {
+		for range s.Backend.Slots {
+			owned[turn%len(owned)][b]++
+			turn++
+		}
+	}
+	for ; turn < len(owned); turn++ {
+		owned[turn][turn%len(f.standings)]++
+	}
+	for i, place := range f.hosts {
+		var own []mustardramp.Standing
+		for b, s := range f.standings {
+			s.Backend.Slots = owned[i][b]
+			if s.Backend.Slots > 0 {
+				own = append(own, s)
+			}
+		}
+		p.cores = append(p.cores, p.core(i, place, nil, own))
+	}
+	return p
+}
+
+// threshold is the adaptive threshold of Hwang and Xu with the global minimum
+// load (GML): every window all hosts get the loads of all backends; a host
+// keeps to a backend of its zone while that load is at most a tenth above the
+// mean, and takes the least loaded one of its table else.
+func threshold(window time.Duration) func(f *fleet) way {
+	return func(f *fleet) way {
+		const alpha = 0.1
+		table := make([][]float64, len(f.hosts))
+		for h := range table {
+			table[h] = make([]float64, len(f.backends))
+		}
+		limit := 0.0
+		var update func()
+		update = func() {
+			sum := 0.0
+			for _, b := range f.backends {
+				sum += float64(b.Busy())
+			}
+			limit = math.Ceil((1 + alpha) * sum / float64(len(f.backends)))
+			for h := range table {
+				for i, b := range f.backends {
+					table[h][i] = float64(b.Busy())
+				}
+			}
+			if f.clock.Elapsed() < f.until {
+				f.clock.After(window, update)
+			}
+		}
+		f.clock.After(0, update)
+		return &unaware{fleet: f, choose: func(r *request) int {
+			best, near := 0, -1
+			own := table[r.host]
+			for i := range own {
+				if own[i] < own[best] {
+					best = i
+				}
+				if f.standings[i].Backend.Place == f.hosts[r.host] && (near < 0 || own[i] < own[near]) {
+					near = i
+				}
+			}
+			if near >= 0 && own[near] < limit {
+				best = near
+			}
+			own[best]++
+			return best
+		}}
+	}
+}
 
 // local gives each host a core of its own.
 func local(f *fleet, strategy Strategy) way {
@@ -454,7 +574,7 @@
 
 // keepers puts the backends of each zone under one core in that zone. A host
 // asks the core with the least expected wait, as far as its last answer told.
-func keepers(f *fleet, carried bool) way {
+func keepers(f *fleet, carried bool, news telling) way {
 	p := &pooled{fleet: f, tickets: map[*Ticket]func(){}, places: fleetPlaces, carried: carried}
 	byZone := make([][]mustardramp.Standing, len(fleetPlaces))
 	for _, s := range f.standings {
@@ -468,18 +588,28 @@
 	for h := range known {
 		known[h] = make([]told, len(p.cores))
 	}
-	p.told = func(r *request, core int) {
+	p.hear = func(r *request, core int) {
 		t := &known[r.host][core]
-		t.wait[r.demand.Rank] = p.cores[core].Estimate(r.demand.Rank, r.demand.Caller).Seconds()
+		t.wait[r.demand.Rank] = p.cores[core].Pressure(r.demand.Rank).Seconds()
 		t.at[r.demand.Rank] = f.clock.Elapsed()
 	}
+	share := func(core int, waits [mustardramp.RankCount]time.Duration) {
+		for h := range known {
+			for rank, wait := range waits {
+				known[h][core].wait[rank], known[h][core].at[rank] = wait.Seconds(), f.clock.Elapsed()
+			}
+		}
+	}
+	if news != nil {
+		news(p, share)
+	}
 	p.pick = func(r *request) int {
 		best, least := 0, 0.0
 		for i := range p.cores {
 			t := &known[r.host][i]
 			d := f.hosts[r.host].To(p.places[i])
 			age := (f.clock.Elapsed() - t.at[r.demand.Rank]).Seconds()
-			wait := t.wait[r.demand.Rank]*math.Exp2(-age/fade)*reluctance[d] + farPenalty*delay(f.hosts[r.host], p.places[i]).Seconds()
+			wait := max(0, t.wait[r.demand.Rank]-age)*reluctance[d] + farPenalty*delay(f.hosts[r.host], p.places[i]).Seconds()
 			if i == 0 || wait < least {
 				best, least = i, wait
 			}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,10 +35,10 @@
 	p.core.Update(p.clock.Now(), standings)
 }
 
-// Estimate returns the time that a new request would wait, as far as it is
-// known.
-func (p *Pool) Estimate(rank mustardramp.Rank, caller mustardramp.CallerName) time.Duration {
-	return p.core.Estimate(rank, caller)
+// Pressure returns the time in which the queue of a rank would empty, as far
+// as it is known.
+func (p *Pool) Pressure(rank mustardramp.Rank) time.Duration {
+	return p.core.Pressure(rank)
 }
 
 // Acquire implements mustardramp.Pool.
--- a/internal/pool/rank_bench_test.go
+++ b/internal/pool/rank_bench_test.go
@@ -45,8 +45,8 @@
 func BenchmarkRanks(b *testing.B) {
 	ways := map[string]func(*fleet) way{
 		"local":    func(f *fleet) way { return local(f, nil) },
-		"leases":   func(f *fleet) way { return keepers(f, false) },
-		"carriers": func(f *fleet) way { return keepers(f, true) },
+		"leases":   leases,
+		"carriers": func(f *fleet) way { return keepers(f, true, every(tellInterval)) },
 	}
 	for _, w := range []string{"local", "leases", "carriers"} {
 		for _, fl := range []string{"calm", "bulk", "urgent", "both"} {
@@ -59,7 +59,7 @@
 							o := f.tally[r]
 							b.ReportMetric(100*o.share(), r.String()+"-served-%")
 							b.ReportMetric(o.quantile(0.99).Seconds()*1000, r.String()+"-p99-ms")
-							b.ReportMetric(100*float64(o.served)/(f.capacity()*(f.until-f.from).Seconds()), r.String()+"-of-capacity-%")
+							b.ReportMetric(100*f.useOf(r), r.String()+"-of-slots-%")
 						}
 						b.ReportMetric(100*f.use(), "use-%")
 						b.ReportMetric(float64(f.attempts)/float64(max(1, f.total().served)), "attempts/served")
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -10,7 +10,7 @@
 	// defaultWait is the longest time in the queue without a contract's word.
 	defaultWait = time.Second
 	// drainSmoothing is the weight of a new gap in the moving mean.
-	drainSmoothing = 0.1
+	drainSmoothing = 0.02
 	// drainSamples is the number of gaps before the mean is used.
 	drainSamples = 8
 )
@@ -70,36 +70,37 @@
 	return end
 }
 
-// Estimate returns the time that a new request would wait, as far as it is
-// known.
-func (c *Core) Estimate(rank mustardramp.Rank, caller mustardramp.CallerName) time.Duration {
+// Pressure returns the time in which the queue of a rank would empty, as far
+// as it is known: what a request of a typical caller waits.
+func (c *Core) Pressure(rank mustardramp.Rank) time.Duration {
+	if c.queued.Load() == 0 {
+		return 0
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.estimate(rank, caller)
+	return c.behind(rank, c.queue.Len(rank))
 }
 
-// estimate returns the least time that a ticket must wait behind those that
-// are there, or 0 when it is not known.
+// estimate returns the least time that a new request must wait behind those
+// that are there, or 0 when it is not known.
 func (c *Core) estimate(rank mustardramp.Rank, caller mustardramp.CallerName) time.Duration {
+	return c.behind(rank, c.queue.Ahead(rank, caller))
+}
+
+// behind returns the time to serve a number of requests of a rank: after all
+// those of higher ranks, or by the rank's own share if that is sooner.
+func (c *Core) behind(rank mustardramp.Rank, ahead int) time.Duration {
 	gap := c.gap()
-	if gap == 0 {
-		return 0
-	}
-	own := c.queue.Len(rank)
-	// Callers take turns, so a caller waits for at most as many turns of the
-	// others as it has requests of its own.
-	turns := c.queue.Waiting(rank, caller) * max(1, c.queue.Callers(rank))
-	own = min(own, turns)
 	higher := 0
 	for r := mustardramp.Rank(0); r < rank; r++ {
 		higher += c.queue.Len(r)
 	}
-	behind := time.Duration(own+higher) * gap
+	behind := time.Duration(ahead+higher) * gap
 	share := c.terms.Load().Ranks[rank].Share
 	if share <= 0 {
 		return behind
 	}
-	alone := time.Duration(float64(own) * float64(gap) / share.Of(1))
+	alone := time.Duration(float64(ahead) * float64(gap) / share.Of(1))
 	return min(behind, alone)
 }
 
