Call keepers over links of their own and spread their queues

Cause: leases were asked for on the links of other calls; a refusal's id of a host not yet known was answered as forgotten. Change: hosts use lease.Network and spread pressure records; refusal why says when the named host is unknown; a fleet is ready once its hosts know each other.

--- a/internal/admin/refusal.go
+++ b/internal/admin/refusal.go
@@ -14,22 +14,36 @@
 
 // Show shows one refusal by its id or by the caller's own request id.
 func (s refusals) Show(ctx context.Context, p *api.ShowPayload) (*api.Refusal, error) {
-	id := mustardramp.RefusalID(p.ID)
-	if host, ok := refusal.HostOf(id); ok && host != s.Host {
-		if address, known := s.hostAddress(host); known {
+	if r, ok := s.remembered(p.ID); ok {
+		return s.explain(ctx, r), nil
+	}
+	host, ok := refusal.HostOf(mustardramp.RefusalID(p.ID))
+	if ok && host != s.Host {
+		address, known := s.hostAddress(host)
+		if known {
 			return s.ask(ctx, host, address, p)
 		}
+		return nil, named(errNotFound, "host %s, which the id names, is not known to host %s", host, s.Host)
 	}
 	if s.Refusals == nil {
 		return nil, named(errUnavailable, "this host refuses no calls: ask an entry host")
 	}
-	if r, ok := s.Refusals.ByID(id); ok {
-		return s.explain(ctx, r), nil
+	return nil, named(errNotFound, "host %s remembers no refusal %q", s.Host, p.ID)
+}
+
+// remembered looks the id up in this host's memory: as a refusal's id, then as
+// a request id.
+func (s refusals) remembered(id string) (mustardramp.Refusal, bool) {
+	if s.Refusals == nil {
+		return mustardramp.Refusal{}, false
 	}
-	if found := s.Refusals.ByRequest(p.ID); len(found) > 0 {
-		return s.explain(ctx, found[0]), nil
+	if r, ok := s.Refusals.ByID(mustardramp.RefusalID(id)); ok {
+		return r, true
 	}
-	return nil, named(errNotFound, "host %s remembers no refusal %q", s.Host, p.ID)
+	if found := s.Refusals.ByRequest(id); len(found) > 0 {
+		return found[0], true
+	}
+	return mustardramp.Refusal{}, false
 }
 
 func (s refusals) hostAddress(host mustardramp.HostName) (string, bool) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -300,12 +300,14 @@
 	}
 }
 
-// Ready returns when every entry host can serve every service.
+// Ready returns when every entry host can serve every service and knows all
+// other hosts.
 func (f *Fleet) Ready(ctx context.Context) error {
+	others := len(f.Control) + len(f.Entry) - 1
 	for {
 		ready := true
 		for _, e := range f.Entry {
-			ready = ready && e.Serving() == len(f.contracts)
+			ready = ready && e.Serving() == len(f.contracts) && e.Hosts() == others
 		}
 		if ready {
 			return nil
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -38,6 +38,9 @@
 	stepPause = 100 * time.Millisecond
 	// reportPause is the time between two reports of evidence.
 	reportPause = 500 * time.Millisecond
+	// pressurePause is the time between two statements on the queues that
+	// this host keeps.
+	pressurePause = 250 * time.Millisecond
 )
 
 // EntryConfig are the settings of an entry host, checked.
@@ -68,6 +71,7 @@
 	refusals  refusal.Memory
 	tally     tally.Tally
 	links     links
+	network   lease.Network
 	server    link.Server
 	exchange  *exchange.Exchange
 	handler   *entry.Handler
@@ -128,7 +132,11 @@
 	e.refusals.Limit = config.RefusalBytes
 	e.tally.Clock = e.clock
 	e.services.holder = lease.Holder{Host: config.Name, Incarnation: e.incarnation}
-	e.services.place, e.services.clock, e.services.peers = config.Place, e.clock, &e.links
+	e.services.place, e.services.clock, e.services.peers = config.Place, e.clock, &e.network
+	e.network.Find = e.links.address
+	e.network.New = func(address netip.AddrPort) *link.Client {
+		return &link.Client{Address: address, TLS: e.secrets.linkClient}
+	}
 	e.contracts.Remote = &registry.Remote{Hosts: config.callers(e.secrets.linkClient)}
 	e.contracts.Changed = e.services.apply
 	e.ejector = ejection.New(config.Name, e.incarnation, config.Place)
@@ -159,18 +167,11 @@
 
 // answerHosts answers the calls of other hosts.
 func (e *Entry) answerHosts() {
-	link.Handle(&e.server.Router, methodAsk, func(ctx context.Context, ask lease.Ask) (lease.Grant, error) {
-		r := e.services.running(ask.Service)
-		if r == nil {
-			return lease.Grant{}, ErrHost.New("service %s does not run here", ask.Service)
-		}
-		return r.pool.Grant(ctx, ask)
-	})
-	link.Handle(&e.server.Router, methodReport, func(_ context.Context, report lease.Report) (struct{}, error) {
-		if r := e.services.running(report.Service); r != nil {
-			r.pool.Take(report)
+	lease.Serve(&e.server.Router, func(name mustardramp.ServiceName) *lease.Pool {
+		if r := e.services.running(name); r != nil {
+			return r.pool
 		}
-		return struct{}{}, nil
+		return nil
 	})
 	link.Handle(&e.server.Router, methodState, func(context.Context, struct{}) (hostState, error) {
 		return hostState{Index: e.contracts.Index(), Ready: e.ready.Load()}, nil
@@ -239,6 +240,11 @@
 	return n
 }
 
+// Hosts counts the other hosts that this one knows.
+func (e *Entry) Hosts() int {
+	return e.links.count()
+}
+
 func anyUsable(standings []mustardramp.Standing) bool {
 	for _, s := range standings {
 		if s.Usable() {
@@ -261,6 +267,7 @@
 	group.Go(func() error { return e.exchange.Run(inner) })
 	group.Go(func() error { return every(inner, stepPause, e.step) })
 	group.Go(func() error { return every(inner, reportPause, e.report) })
+	group.Go(func() error { return every(inner, pressurePause, e.reportPressure) })
 	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
 	group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
 	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.secrets.admin, e.administration()) })
@@ -271,6 +278,8 @@
 	})
 	err := group.Wait()
 	e.links.close()
+	// Peers that stopped first have closed their connections already.
+	_ = e.network.Close()
 	return err
 }
 
@@ -299,6 +308,7 @@
 			klog.ErrorS(err, "evidence-refused", "key", r.Key)
 		}
 	})
+	e.exchange.Watch(mustardramp.RecordPressure, e.learnPressure)
 }
 
 // step takes up the present members and decides the standings of all backends.
@@ -338,6 +348,34 @@
 	e.exchange.Offer(record)
 }
 
+// reportPressure spreads the lengths of the queues that this host keeps.
+func (e *Entry) reportPressure() {
+	for name, r := range e.services.all() {
+		records, err := r.pool.Pressure()
+		if err != nil {
+			klog.ErrorS(err, "pressure-not-reported", "service", name)
+			continue
+		}
+		e.exchange.OfferAll(records)
+	}
+}
+
+// learnPressure takes in the lengths of queues that another host keeps.
+func (e *Entry) learnPressure(record mustardramp.Record) {
+	pressure, err := lease.DecodePressure(record)
+	if err != nil {
+		klog.ErrorS(err, "pressure-refused", "key", record.Key)
+		return
+	}
+	r := e.services.running(pressure.Service)
+	if r == nil {
+		return
+	}
+	if err := r.pool.Learn(record); err != nil {
+		klog.ErrorS(err, "pressure-refused", "key", record.Key)
+	}
+}
+
 func (e *Entry) announcements() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(announce.Path, announcement.New(announcement.Config{
--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -9,7 +9,6 @@
 	"github.com/zeebo/errs"
 
 	"github.com/mustardramp/mustardramp"
-	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/link"
 	"github.com/mustardramp/mustardramp/internal/membership"
 )
@@ -17,12 +16,8 @@
 // ErrHost is the class of errors for hosts that are not known.
 var ErrHost = errs.Class("host")
 
-// Methods of the link between hosts.
-const (
-	methodAsk    = "lease/ask"
-	methodReport = "lease/report"
-	methodState  = "host/state"
-)
+// methodState asks a host for its state.
+const methodState = "host/state"
 
 // links holds one link to each host that this one calls by name.
 type links struct {
@@ -68,6 +63,14 @@
 	return c, nil
 }
 
+// address returns the address of a host's links.
+func (l *links) address(host mustardramp.HostName) (netip.AddrPort, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m, ok := l.members[host]
+	return m.Host.Address, ok
+}
+
 // admin returns the address of a host's administration API.
 func (l *links) admin(host mustardramp.HostName) (netip.AddrPort, bool) {
 	l.mu.Lock()
@@ -76,25 +79,6 @@
 	return m.Host.Service, ok
 }
 
-// Ask implements lease.Peers.
-func (l *links) Ask(ctx context.Context, host mustardramp.HostName, ask lease.Ask) (lease.Grant, error) {
-	c, err := l.to(host)
-	if err != nil {
-		return lease.Grant{}, err
-	}
-	return link.Call[lease.Grant](ctx, c, methodAsk, ask)
-}
-
-// Report implements lease.Peers.
-func (l *links) Report(ctx context.Context, host mustardramp.HostName, report lease.Report) error {
-	c, err := l.to(host)
-	if err != nil {
-		return err
-	}
-	_, err = link.Call[struct{}](ctx, c, methodReport, report)
-	return err
-}
-
 // hostState is what a host says of itself when it is asked.
 type hostState struct {
 	// Index is of the newest change in force.
@@ -102,6 +86,12 @@
 	Ready bool              `cbor:"2,keyasint"`
 }
 
+func (l *links) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.members)
+}
+
 // state asks a host for its state.
 func (l *links) state(ctx context.Context, host mustardramp.HostName) (hostState, error) {
 	c, err := l.to(host)
