Add the decision on hedges

Cause: one slow backend sets the p99 of idempotent reads. Change: retry.Hedge waits for the 0.95 quantile of the good latencies of a rank, spends from the retry budget, and stays away while requests wait for slots.

--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -92,3 +93,85 @@
 		})
 	}
 }
+
+// TestOutageAfterGoodTimes bounds the attempts of one of 40 hosts that share
+// 540 requests a second, over a minute of outage that follows a good hour, and
+// in a flood of sheds.
+func TestOutageAfterGoodTimes(t *testing.T) {
+	const perSecond, seconds = 13, 60
+	for _, result := range []mustardramp.Result{mustardramp.ResultError, mustardramp.ResultShed} {
+		t.Run(result.String(), func(t *testing.T) {
+			b := New(20)
+			now := start
+			for range 3600 * perSecond {
+				now = now.Add(time.Second / perSecond)
+				b.Fresh(mustardramp.Normal, now)
+				b.Observe(mustardramp.Normal, mustardramp.ResultGood, now)
+			}
+			attempts := 0
+			for range seconds * perSecond {
+				now = now.Add(time.Second / perSecond)
+				b.Fresh(mustardramp.Normal, now)
+				for again := true; again; again = b.Allow(mustardramp.Normal, now) {
+					attempts++
+					b.Observe(mustardramp.Normal, result, now)
+				}
+			}
+			got, want := float64(attempts)/(seconds*perSecond), 1.1
+			t.Logf("%.4f attempts per request", got)
+			if got > want {
+				t.Errorf("got %.3f attempts per request, want at most %.1f", got, want)
+			}
+		})
+	}
+}
+
+func TestHedgeDelayIsTheQuantile(t *testing.T) {
+	h := Hedge{Budget: New(10)}
+	random := rand.New(rand.NewPCG(1, 2))
+	if _, ok := h.Delay(mustardramp.Normal, true); ok {
+		t.Error("got a hedge before any answer")
+	}
+	var sum time.Duration
+	const samples, counted = 30_000, 20_000
+	for i := range samples {
+		h.Learn(mustardramp.Normal, time.Duration(random.ExpFloat64()*float64(100*time.Millisecond)))
+		if i >= samples-counted {
+			d, _ := h.Delay(mustardramp.Normal, true)
+			sum += d
+		}
+	}
+	// The quantile 0.95 of an exponential distribution is ln 20 means.
+	got, want := sum/counted, 300*time.Millisecond
+	if got < want*9/10 || got > want*11/10 {
+		t.Errorf("got a mean delay of %s, want %s within a tenth", got, want)
+	}
+}
+
+func TestHedgeOnlyIdempotentAndInBudget(t *testing.T) {
+	h := Hedge{Budget: New(10)}
+	for range 100 {
+		h.Learn(mustardramp.Normal, time.Second)
+	}
+	if _, ok := h.Delay(mustardramp.Normal, false); ok {
+		t.Error("got a hedge of work that is not idempotent")
+	}
+	if h.Start(mustardramp.Normal, false, start) {
+		t.Error("got a hedge without savings")
+	}
+	for range 20 {
+		h.Budget.Fresh(mustardramp.Normal, start)
+	}
+	if h.Start(mustardramp.Normal, true, start) {
+		t.Error("got a hedge while requests wait")
+	}
+	if !h.Start(mustardramp.Normal, false, start) {
+		t.Error("got no hedge within the budget")
+	}
+	if !h.Budget.Allow(mustardramp.Normal, start) {
+		t.Error("got no retry on the rest of the savings")
+	}
+	if h.Start(mustardramp.Normal, false, start) {
+		t.Error("got a hedge beyond the budget")
+	}
+}
