Keep work away from backends that fail at once

Cause: a backend that fails at once looks idle; one dead of nine at 50 % load drew most of the work of its zone, and the retry budget fell with the square of the good share. Change: an early failure counts as in flight for the rest of the usual latency, and four times in the choice; the budget falls with the good share itself. Conclusion: the ejector gets time to decide; TestFastFailureDrawsNoWork bounds the dead backend to its part of the attempts.

--- a/internal/pool/choice.go
+++ b/internal/pool/choice.go
@@ -36,7 +36,7 @@
 // Fill returns the share of the limit of option i that one more attempt would
 // use.
 func (c *Choice) Fill(i int) float64 {
-	return c.members[i].fill()
+	return c.members[i].fill(c.at)
 }
 
 // Intn returns the next random number below n, which is above 0.
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,8 @@
 	rolls    atomic.Uint64
 	// queued is the number of waiting tickets; while it is 0 no lock is taken.
 	queued atomic.Int64
+	// usual is the moving mean latency of good answers in nanoseconds.
+	usual atomic.Int64
 	// costs are the moving mean slot times by rank in nanoseconds.
 	costs [mustardramp.RankCount]atomic.Int64
 
@@ -102,7 +105,7 @@
 func (c *Core) Update(now time.Time, standings []mustardramp.Standing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.view.Store(build(c.view.Load(), c.place, standings))
+	c.view.Store(build(c.view.Load(), c.place, &c.usual, standings))
 	c.dispatch(now)
 }
 
@@ -124,7 +127,7 @@
 func (c *Core) Finish(now time.Time, lease Lease, result mustardramp.Result, latency time.Duration) {
 	lease.member.leave(result, latency, now)
 	if result == mustardramp.ResultGood {
-		c.learn(lease.rank, now.Sub(lease.granted))
+		learn(&c.costs[lease.rank], now.Sub(lease.granted))
 	}
 	if c.queued.Load() == 0 {
 		return
@@ -173,17 +176,21 @@
 	return t.lease
 }
 
-// Release returns the next time at which a held backend takes work again, or
-// false when none is held.
+// Release returns the next time at which a backend may take work again without
+// another event, or false when there is none.
 func (c *Core) Release(now time.Time) (time.Time, bool) {
 	at := now.UnixNano()
-	var first int64
+	usual := time.Duration(c.usual.Load())
+	first := int64(math.MaxInt64)
 	c.view.Load().each(func(m *member) {
-		if h := m.held.Load(); h > at && (first == 0 || h < first) {
-			first = h
+		if h := m.held.Load(); h > at {
+			first = min(first, h)
+		}
+		if m.ghosts.at(at, usual) > 0 {
+			first = min(first, at+int64(max(usual/4, ghostTick)))
 		}
 	})
-	return time.Unix(0, first), first != 0
+	return time.Unix(0, first), first != math.MaxInt64
 }
 
 func (c *Core) enqueue(now time.Time, demand mustardramp.Demand) (Lease, *Ticket, *mustardramp.Denial) {
@@ -355,15 +362,6 @@
 	return wait > float64(crossing)
 }
 
-func (c *Core) learn(rank mustardramp.Rank, used time.Duration) {
-	old := c.costs[rank].Load()
-	if old == 0 {
-		c.costs[rank].Store(int64(used))
-		return
-	}
-	c.costs[rank].Store(old + int64(smoothing*float64(int64(used)-old)))
-}
-
 func (c *Core) slotTimes() (costs queue.Costs) {
 	for r := range costs {
 		costs[r] = time.Duration(c.costs[r].Load())
--- a/internal/pool/fleet_test.go
+++ b/internal/pool/fleet_test.go
@@ -40,7 +40,10 @@
 	hosts     []mustardramp.Place
 	backends  []*slotfake.Backend
 	standings []mustardramp.Standing
-	budget    *retry.Budget
+	budgets   []*retry.Budget
+	// hedges are nil when work is not hedged.
+	hedges []*retry.Hedge
+	hedged int
 	// fifo puts all work into one rank.
 	fifo  bool
 	terms Terms
@@ -53,6 +56,7 @@
 	work     time.Duration
 	done     [mustardramp.RankCount]time.Duration
 	attempts int
+	failures int
 }
 
 // outcome counts the requests of one rank that arrived in the counted time.
@@ -67,10 +71,11 @@
 }
 
 func newFleet(s size, seed uint64) *fleet {
-	f := &fleet{source: slotfake.NewSource(seed), budget: retry.New(20), from: 5 * time.Second, until: 35 * time.Second}
+	f := &fleet{source: slotfake.NewSource(seed), from: 5 * time.Second, until: 35 * time.Second}
 	f.terms = terms()
 	for i := range s.hosts {
 		f.hosts = append(f.hosts, fleetPlaces[i%len(fleetPlaces)])
+		f.budgets = append(f.budgets, retry.New(20))
 	}
 	for i := range s.backends {
 		st := serving(i, fleetPlaces[i%len(fleetPlaces)], mustardramp.Slots(s.slots))
@@ -98,6 +103,8 @@
 	arrived time.Duration
 	counted bool
 	tries   int
+	// ended is true once an answer or a denial was given.
+	ended bool
 }
 
 // way is one way to bring requests to backends.
@@ -145,7 +152,7 @@
 
 // again reports whether a shed request may be sent once more.
 func (f *fleet) again(r *request) bool {
-	return r.tries < mostTries && f.clock.Now().Before(r.demand.Deadline) && f.budget.Allow(r.demand.Rank, f.clock.Now())
+	return r.tries < mostTries && f.clock.Now().Before(r.demand.Deadline) && f.budgets[r.host].Allow(r.demand.Rank, f.clock.Now())
 }
 
 // send carries one attempt to a backend and its answer back.
@@ -155,17 +162,20 @@
 		f.attempts++
 	}
 	if r.tries == 1 {
-		f.budget.Fresh(r.demand.Rank, f.clock.Now())
+		f.budgets[r.host].Fresh(r.demand.Rank, f.clock.Now())
 	}
 	way := delay(from, f.standings[b].Backend.Place)
 	f.clock.After(way, func() {
 		f.backends[b].Serve(r.work, func(a slotfake.Answer) {
 			result := [...]mustardramp.Result{mustardramp.ResultGood, mustardramp.ResultShed, mustardramp.ResultError}[a]
 			f.clock.After(way, func() {
-				f.budget.Observe(r.demand.Rank, result, f.clock.Now())
+				f.budgets[r.host].Observe(r.demand.Rank, result, f.clock.Now())
 				if result == mustardramp.ResultShed && r.counted {
 					f.sheds++
 				}
+				if result.Failed() && r.counted {
+					f.failures++
+				}
 				done(result)
 			})
 		})
@@ -173,6 +183,7 @@
 }
 
 func (f *fleet) served(r *request) {
+	r.ended = true
 	if now := f.clock.Elapsed(); now >= f.from && now < f.until {
 		f.done[r.rank] += r.work
 	}
@@ -189,6 +200,7 @@
 }
 
 func (f *fleet) denied(r *request, kind mustardramp.RefusalKind) {
+	r.ended = true
 	if !r.counted {
 		return
 	}
@@ -418,6 +430,7 @@
 	}
 	begun := p.clock.Now()
 	p.clock.After(back, func() {
+		p.hedge(r, core, id)
 		p.send(r, from, b, func(result mustardramp.Result) {
 			p.clock.After(back, func() { p.cores[core].Finish(p.clock.Now(), lease, result, p.clock.Now().Sub(begun)) })
 			p.ended(r, core, id, result)
@@ -425,10 +438,46 @@
 	})
 }
 
+// hedge sends a first attempt a second time when its answer is late.
+func (p *pooled) hedge(r *request, core int, id mustardramp.BackendID) {
+	if p.hedges == nil || r.tries > 0 {
+		return
+	}
+	h := p.hedges[r.host]
+	late, ok := h.Delay(r.rank, r.demand.Idempotent)
+	if !ok {
+		return
+	}
+	p.clock.After(late, func() {
+		if r.ended || !h.Start(r.rank, p.cores[core].Pressure(r.rank) > 0, p.clock.Now()) {
+			return
+		}
+		r.demand.Tried = append(r.demand.Tried, id)
+		lease, ticket, _ := p.cores[core].Offer(p.clock.Now(), r.demand)
+		if ticket != nil {
+			lease = p.cores[core].Withdraw(ticket)
+		}
+		if !lease.Valid() {
+			return
+		}
+		if r.counted {
+			p.hedged++
+		}
+		p.dispatch(r, core, lease)
+	})
+}
+
 func (p *pooled) ended(r *request, core int, id mustardramp.BackendID, result mustardramp.Result) {
 	p.tell(r, core)
+	if r.ended {
+		return
+	}
+	if p.hedges != nil && result == mustardramp.ResultGood {
+		p.hedges[r.host].Learn(r.rank, p.clock.Elapsed()-r.arrived)
+	}
 	switch {
 	case result == mustardramp.ResultGood && p.carried:
+		r.ended = true
 		p.clock.After(p.hop(r, core), func() { p.served(r) })
 	case result == mustardramp.ResultGood:
 		p.served(r)
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -15,6 +15,8 @@
 	dialHold = 100 * time.Millisecond
 	// decrease is the factor of the limit after a shed.
 	decrease = 0.7
+	// wariness is the weight of an early failure in the choice.
+	wariness = 4
 	// smoothing is the weight of a new latency in the moving mean.
 	smoothing = 0.1
 )
@@ -29,6 +31,8 @@
 	limit atomic.Uint64
 	// latency is the moving mean in nanoseconds; 0 means not known.
 	latency atomic.Int64
+	// ghosts stand for attempts that failed early.
+	ghosts ghosts
 	// held is the time in Unix nanoseconds up to which no work is sent.
 	held atomic.Int64
 	// left is the incarnation that said it is leaving, plus one.
@@ -48,6 +52,8 @@
 	// ceiling is the number of slots that this host may use; at least 1.
 	ceiling int32
 	trial   bool
+	// usual is the mean latency of good answers of the service.
+	usual *atomic.Int64
 }
 
 // cap returns how many attempts may be in flight: at least 1, at most the
@@ -67,12 +73,19 @@
 
 // room reports whether the member takes one more attempt.
 func (m *member) room(at int64) bool {
-	return m.inFlight.Load() < m.cap() && m.open(at)
+	return m.busy(at) < float64(m.cap()) && m.open(at)
 }
 
-// fill is the share of the member's limit that one more attempt would use.
-func (m *member) fill() float64 {
-	return float64(m.inFlight.Load()+1) / float64(m.cap())
+// busy is the number of attempts in flight and of those that failed early.
+func (m *member) busy(at int64) float64 {
+	return float64(m.inFlight.Load()) + math.Floor(m.ghosts.at(at, time.Duration(m.usual.Load())))
+}
+
+// fill is the share of the member's limit that one more attempt would use. It
+// counts early failures wariness times over, so that others are preferred.
+func (m *member) fill(at int64) float64 {
+	ghosts := m.ghosts.at(at, time.Duration(m.usual.Load()))
+	return (float64(m.inFlight.Load()) + wariness*ghosts + 1) / float64(m.cap())
 }
 
 // enter takes one place in flight, or reports false.
@@ -101,8 +114,21 @@
 		m.left.Store(uint64(m.backend.Incarnation) + 1)
 	case mustardramp.ResultGood:
 		m.grow(n)
-		m.learn(latency)
+		learn(&m.latency, latency)
+		learn(m.usual, latency)
+	}
+	if result.Failed() {
+		m.haunt(latency, now)
+	}
+}
+
+// haunt counts the time that a failed attempt left unused.
+func (m *member) haunt(latency time.Duration, now time.Time) {
+	usual := time.Duration(m.usual.Load())
+	if latency >= usual {
+		return
 	}
+	m.ghosts.add(1-float64(latency)/float64(usual), now.UnixNano(), usual)
 }
 
 // shrink lowers the limit after a shed at n in flight.
@@ -143,11 +169,12 @@
 	}
 }
 
-func (m *member) learn(latency time.Duration) {
-	old := m.latency.Load()
+// learn moves a mean towards a new value.
+func learn(mean *atomic.Int64, value time.Duration) {
+	old := mean.Load()
 	if old == 0 {
-		m.latency.Store(int64(latency))
+		mean.Store(int64(value))
 		return
 	}
-	m.latency.Store(old + int64(smoothing*float64(int64(latency)-old)))
+	mean.Store(old + int64(smoothing*float64(int64(value)-old)))
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -297,3 +297,18 @@
 		t.Errorf("got %d queued at the end, want 0", got)
 	}
 }
+
+// TestFastFailureDrawsNoWork checks that a backend that fails at once gets no
+// more than its part of the attempts.
+func TestFastFailureDrawsNoWork(t *testing.T) {
+	for _, load := range []float64{0.2, 0.5, 0.8} {
+		f := newFleet(size{hosts: 40, backends: 9, slots: 6}, *seed)
+		f.backends[0].Dead = true
+		f.from, f.until = 2*time.Second, 8*time.Second
+		f.load(leases(f), mustardramp.Normal, load*f.capacity(), 0, f.until, 10*time.Second)
+		f.run()
+		if got, want := float64(f.failures)/float64(f.attempts), 1.0/9; got > want {
+			t.Errorf("load %.1f: got %.3f of the attempts at the failing backend, want at most %.3f", load, got, want)
+		}
+	}
+}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/mustardramp/mustardramp"
@@ -28,7 +29,7 @@
 
 // build makes a view from standings, and keeps the loads of backends that the
 // old view knew.
-func build(old *view, place mustardramp.Place, standings []mustardramp.Standing) *view {
+func build(old *view, place mustardramp.Place, usual *atomic.Int64, standings []mustardramp.Standing) *view {
 	loads := old.loads()
 	v := &view{}
 	for i := range standings {
@@ -36,6 +37,7 @@
 		v.counts.add(s)
 		trial := s.Trial && s.Backend.State == mustardramp.Serving && !s.Avoided
 		m := newMember(s, trial, loads[s.Backend.ID])
+		m.usual = usual
 		switch {
 		case trial:
 			v.trials = append(v.trials, m)
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -95,7 +95,7 @@
 // worth returns what a fresh request earns now.
 func (b *Budget) worth() int64 {
 	good := unit - b.failing.Load()
-	return b.earned.Load() * good / unit * good / unit
+	return b.earned.Load() * good / unit
 }
 
 // Allow spends one further attempt, or reports false.
