Carry a group's messages over links

Cause: members run in different processes. A submitted proposal without a result for 30 ticks has an unknown outcome.

--- /dev/null
+++ b/internal/quorum/benchmark_test.go
@@ -0,0 +1,118 @@
+package quorum
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// nothing is a machine without state.
+type nothing struct{}
+
+func (nothing) Apply(mustardramp.Index, []byte) []byte { return nil }
+func (nothing) Snapshot() ([]byte, error)              { return nil, nil }
+func (nothing) Restore([]byte) error                   { return nil }
+
+const commandSize = 200
+
+// BenchmarkCommit measures commits of three members over TCP on loopback, with
+// real files and syncs, from a member that does not lead.
+func BenchmarkCommit(b *testing.B) {
+	for _, concurrent := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("concurrent=%d", concurrent), func(b *testing.B) {
+			members := startLinked(b, 3, b.TempDir(), func() mustardramp.Machine { return nothing{} })
+			follower := waitForFollower(b, members)
+			commitMany(b, follower.group, concurrent)
+		})
+	}
+}
+
+func waitForFollower(b *testing.B, members []*linked) *linked {
+	b.Helper()
+	if _, err := members[0].group.Propose(b.Context(), nil); err != nil {
+		b.Fatal(err)
+	}
+	for _, m := range members {
+		if !m.group.Status().IsLeading() {
+			return m
+		}
+	}
+	b.Fatal("got no follower, want two")
+	return nil
+}
+
+// commitMany commits b.N commands, so many at a time.
+func commitMany(b *testing.B, log mustardramp.Log, concurrent int) {
+	b.Helper()
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	histograms := make([]*hdrhistogram.Histogram, concurrent)
+	var work errgroup.Group
+	b.ResetTimer()
+	for i := range concurrent {
+		histograms[i] = hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+		work.Go(func() error {
+			for left.Add(-1) >= 0 {
+				start := time.Now()
+				if _, err := log.Propose(b.Context(), make([]byte, commandSize)); err != nil {
+					return err
+				}
+				if err := histograms[i].RecordValue(time.Since(start).Microseconds()); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := work.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	b.StopTimer()
+	all := histograms[0]
+	for _, h := range histograms[1:] {
+		all.Merge(h)
+	}
+	b.ReportMetric(float64(all.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(all.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+}
+
+// BenchmarkFailover measures from the stop of a leader to the first commit
+// through another member.
+func BenchmarkFailover(b *testing.B) {
+	worst := time.Duration(0)
+	total := time.Duration(0)
+	for range b.N {
+		b.StopTimer()
+		members := startLinked(b, 3, b.TempDir(), func() mustardramp.Machine { return nothing{} })
+		follower := waitForFollower(b, members)
+		b.StartTimer()
+		start := time.Now()
+		for _, m := range members {
+			if m.group.Status().IsLeading() {
+				m.stop()
+			}
+		}
+		for {
+			if _, err := follower.group.Propose(b.Context(), nil); err == nil {
+				break
+			}
+		}
+		took := time.Since(start)
+		total += took
+		worst = max(worst, took)
+		b.StopTimer()
+		for _, m := range members {
+			m.stop()
+		}
+		b.StartTimer()
+	}
+	b.ReportMetric(total.Seconds()/float64(b.N), "mean-s")
+	b.ReportMetric(worst.Seconds(), "max-s")
+}
--- /dev/null
+++ b/internal/quorum/links_test.go
@@ -0,0 +1,165 @@
+package quorum
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/disk"
+	"github.com/mustardramp/mustardramp/internal/link"
+)
+
+func TestInletOrdersParcels(t *testing.T) {
+	parcelOf := func(stream, number uint64) parcel {
+		return parcel{Stream: stream, Number: number, Messages: []Message{{Request: number}}}
+	}
+	for name, tc := range map[string]struct {
+		parcels []parcel
+		want    []uint64
+	}{
+		"in order":  {[]parcel{parcelOf(7, 0), parcelOf(7, 1), parcelOf(7, 2)}, []uint64{0, 1, 2}},
+		"swapped":   {[]parcel{parcelOf(7, 1), parcelOf(7, 0), parcelOf(7, 2)}, []uint64{0, 1, 2}},
+		"last held": {[]parcel{parcelOf(7, 0), parcelOf(7, 2)}, []uint64{0}},
+		"new stream": {
+			[]parcel{parcelOf(7, 0), parcelOf(7, 2), parcelOf(8, 0), parcelOf(8, 1)},
+			[]uint64{0, 0, 1},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var in inlet
+			var got []uint64
+			for _, p := range tc.parcels {
+				for _, m := range in.order(p) {
+					got = append(got, m.Request)
+				}
+			}
+			if !slices.Equal(got, tc.want) {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestInletGoesOnWithoutALateParcel(t *testing.T) {
+	var in inlet
+	var got []uint64
+	take := func(number uint64) {
+		for _, m := range in.order(parcel{Number: number, Messages: []Message{{Request: number}}}) {
+			got = append(got, m.Request)
+		}
+	}
+	for number := uint64(1); number <= heldLimit+2; number++ {
+		take(number)
+	}
+	if len(got) != heldLimit+2 || !slices.IsSorted(got) {
+		t.Errorf("got %v, want %d in order", got, heldLimit+2)
+	}
+	take(0)
+	if last := got[len(got)-1]; last != 0 {
+		t.Errorf("got %d last, want the late parcel", last)
+	}
+}
+
+// linked is a member with its own listener on loopback.
+type linked struct {
+	group *Group
+	links *Links
+	stop  func()
+}
+
+// startLinked starts members that talk over TCP. Disks are those of the
+// machine when folder is not empty.
+func startLinked(tb testing.TB, size int, folder string, machine func() mustardramp.Machine) []*linked {
+	tb.Helper()
+	var hosts []mustardramp.HostName
+	listeners := map[mustardramp.HostName]net.Listener{}
+	for i := range size {
+		host := mustardramp.HostName(fmt.Sprintf("host-%d", i+1))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		hosts = append(hosts, host)
+		listeners[host] = listener
+	}
+	var members []*linked
+	for _, host := range hosts {
+		peers := map[mustardramp.HostName]link.Caller{}
+		for _, peer := range hosts {
+			if peer != host {
+				address := netip.MustParseAddrPort(listeners[peer].Addr().String())
+				peers[peer] = &link.Client{Address: address}
+			}
+		}
+		members = append(members, startLinkedMember(tb, host, hosts, peers, listeners[host], folder, machine()))
+	}
+	return members
+}
+
+func startLinkedMember(tb testing.TB, host mustardramp.HostName, hosts []mustardramp.HostName, peers map[mustardramp.HostName]link.Caller, listener net.Listener, folder string, machine mustardramp.Machine) *linked {
+	tb.Helper()
+	config := Config{
+		Group:     "linked",
+		Host:      host,
+		Hosts:     hosts,
+		Folder:    "data",
+		Disk:      &disk.Fake{},
+		Machine:   machine,
+		Transport: NewLinks("linked", host, peers),
+	}
+	if folder != "" {
+		config.Disk = disk.System{}
+		config.Folder = folder + "/" + string(host)
+	}
+	g, err := Open(config)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	m := &linked{group: g, links: config.Transport.(*Links)}
+	server := &link.Server{}
+	m.links.Serve(&server.Router, g)
+	ctx, cancel := context.WithCancel(context.Background())
+	work, ctx := errgroup.WithContext(ctx)
+	work.Go(func() error { return server.Serve(ctx, listener) })
+	work.Go(func() error { return m.links.Run(ctx) })
+	work.Go(func() error { return g.Run(ctx) })
+	stopped := false
+	m.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := work.Wait(); err != nil {
+			tb.Errorf("%s: %v", host, err)
+		}
+		for _, peer := range peers {
+			_ = peer.(*link.Client).Close()
+		}
+	}
+	tb.Cleanup(m.stop)
+	return m
+}
+
+func TestGroupOverLinks(t *testing.T) {
+	members := startLinked(t, 3, "", func() mustardramp.Machine { return &tape{} })
+	for i, m := range members {
+		command := fmt.Appendf(nil, "command %d", i)
+		got, err := m.group.Propose(t.Context(), command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Equal(got, command) {
+			t.Errorf("got %q, want %q", got, command)
+		}
+		if err := m.group.Confirm(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/quorum/waiting.go
+++ b/internal/quorum/waiting.go
@@ -7,6 +7,10 @@
 	"github.com/mustardramp/mustardramp"
 )
 
+// proposalTicks bounds the wait for the result of a submitted proposal: it may
+// have been lost on its way to the leader.
+const proposalTicks = 30
+
 // call runs on the group's loop.
 type call func(g *Group)
 
@@ -15,6 +19,8 @@
 	ctx     context.Context
 	command []byte
 	reply   chan proposalResult
+	// age counts ticks since the proposal was submitted.
+	age int
 }
 
 type proposalResult struct {
@@ -86,6 +92,7 @@
 	for _, id := range list {
 		if p := w.submitted[id]; p != nil {
 			delete(w.submitted, id)
+			p.age = 0
 			w.held = append(w.held, p)
 		}
 	}
@@ -139,8 +146,10 @@
 	w.held = nil
 	w.parked = alive(w.parked)
 	for id, p := range w.submitted {
-		if p.ctx.Err() != nil {
+		p.age++
+		if p.ctx.Err() != nil || p.age > proposalTicks {
 			delete(w.submitted, id)
+			p.reply <- proposalResult{err: ErrUnknown.New("no result in %d ticks", proposalTicks)}
 		}
 	}
 	for request, r := range w.reads {
