Count bytes sent before the peer can have read them

Change: the count is added before the write and corrected after a short one. Conclusion: a byte that a peer has read is always counted.

--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -52,13 +52,15 @@
 	return n, err
 }
 
-// Write counts what it writes. A peer that does not read ends the connection.
+// Write counts what it writes, before the peer can have read it. A peer that
+// does not read ends the connection.
 func (c *countedConn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
 		return 0, err
 	}
+	c.traffic.sent.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.traffic.sent.Add(int64(n))
+	c.traffic.sent.Add(int64(n - len(p)))
 	if err != nil {
 		// A frame may be cut: nothing may follow it.
 		_ = c.Close()
