Let one timer end an attempt, and the pool the wait

Cause: a profile of allocations showed a context with a deadline for each wait, though the pool heeds the deadline of its demand, and two timers for each attempt. Change: the wait takes the request's context; one timer serves the deadline and then the answer's pieces. It rests while a slow caller takes its piece: before, a caller that took a piece slower than 60 s counted as a stalled backend.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -44,8 +45,11 @@
 	backend mustardramp.Backend
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	// due ends the attempt at the deadline, until the answer begins.
+	// due ends the attempt: at the deadline until the answer begins, and after
+	// stallTimeout without a byte from then on.
 	due *time.Timer
+	// begun is true once the answer has begun.
+	begun atomic.Bool
 
 	wire *wire
 	// began is when the attempt was dispatched, or when the last byte of a
@@ -76,7 +80,7 @@
 	if err != nil {
 		return a.failed(err)
 	}
-	a.due.Stop()
+	a.begun.Store(true)
 	return a.receive(response)
 }
 
@@ -89,7 +93,16 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(parent)
 	left := a.x.deadline.Sub(a.began)
-	a.due = time.AfterFunc(left, func() { a.cancel(errTimeout) })
+	a.due = time.AfterFunc(left, a.expire)
+}
+
+// expire ends an attempt whose backend let the time pass.
+func (a *attempt) expire() {
+	if a.begun.Load() {
+		a.cancel(errStall)
+		return
+	}
+	a.cancel(errTimeout)
 }
 
 func (a *attempt) stop() {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -208,9 +208,11 @@
 
 func (x *exchange) acquire() (mustardramp.Slot, error) {
 	before := x.h.config.Clock.Now()
-	ctx, cancel := context.WithDeadline(x.r.Context(), before.Add(x.deadline.Sub(before)))
-	defer cancel()
-	slot, err := x.service.Pool.Acquire(ctx, mustardramp.Demand{
+	if !before.Before(x.deadline) {
+		return nil, context.DeadlineExceeded
+	}
+	// The pool heeds the demand's deadline, so the context needs none.
+	slot, err := x.service.Pool.Acquire(x.r.Context(), mustardramp.Demand{
 		Rank:       x.route.Rank,
 		Caller:     x.caller,
 		Deadline:   x.deadline,
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -76,7 +76,6 @@
 	buf := a.x.h.buffers.Get().(*[]byte)
 	defer a.x.h.buffers.Put(buf)
 	b := &inflow{a: a, response: response, expect: a.expectation(response)}
-	defer b.stop()
 	if !a.holds(response) {
 		return a.stream(b, *buf, 0)
 	}
@@ -116,7 +115,7 @@
 	switch {
 	case errors.Is(cause, errCut):
 		return mustardramp.ResultAbandoned, mustardramp.KindStopping, "the host was stopped at once"
-	case errors.Is(cause, errStall):
+	case errors.Is(cause, errStall), errors.Is(cause, errTimeout):
 		return mustardramp.ResultTimeout, mustardramp.KindCut, "the backend's answer stalled"
 	case !a.x.route.Once && a.x.r.Context().Err() != nil:
 		return mustardramp.ResultAbandoned, mustardramp.KindCallerGone, "the caller went away"
@@ -302,16 +301,13 @@
 	a        *attempt
 	response *http.Response
 	expect   *expectation
-	timer    *time.Timer
 }
 
 func (b *inflow) read(p []byte) (int, error) {
-	if b.timer == nil {
-		b.timer = time.AfterFunc(stallTimeout, func() { b.a.cancel(errStall) })
-	} else {
-		b.timer.Reset(stallTimeout)
-	}
+	b.a.due.Reset(stallTimeout)
 	n, err := b.response.Body.Read(p)
+	// The time that a slow caller takes is not the backend's.
+	b.a.due.Stop()
 	b.expect.write(p[:n])
 	return n, err
 }
@@ -337,12 +333,6 @@
 	return min(len(p), 1)
 }
 
-func (b *inflow) stop() {
-	if b.timer != nil {
-		b.timer.Stop()
-	}
-}
-
 func logCut(r *mustardramp.Refusal) {
 	klog.InfoS("answer-cut", refusalFields(r)...)
 }
