Copy headers once on the way through

Cause: the profile showed a second map for the answer's headers, and slices for values that are the same in many requests. Change: headers pass straight into the answer; constant values are shared.

--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -5,6 +5,8 @@
 	"net/textproto"
 	"slices"
 	"strings"
+
+	"github.com/mustardramp/mustardramp"
 )
 
 // The fleet's own headers. They are removed from what callers and backends
@@ -31,52 +33,80 @@
 
 const requestIDHeader = "X-Request-Id"
 
-// hopByHop lists the headers that belong to one connection.
-var hopByHop = [...]string{
-	"Connection",
-	"Proxy-Connection",
-	"Keep-Alive",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Te",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
-}
-
 // forwardable copies the headers that pass from one side to the other.
 func forwardable(header http.Header) http.Header {
-	out := make(http.Header, len(header)+4)
+	out := make(http.Header, len(header)+addedHeaders)
+	pass(out, header)
+	return out
+}
+
+// addedHeaders is the number of headers that the host adds to a request.
+const addedHeaders = 5
+
+// pass copies into target the headers that pass from one side to the other.
+func pass(target, header http.Header) {
+	named := header["Connection"]
 	for name, values := range header {
-		if !strings.HasPrefix(name, headerPrefix) {
-			out[name] = values
+		if strings.HasPrefix(name, headerPrefix) || isHopByHop(name) || isNamed(named, name) {
+			continue
 		}
+		target[name] = values
 	}
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+}
+
+// isHopByHop reports whether a header belongs to one connection.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	default:
+		return false
+	}
+}
+
+// isNamed reports whether the Connection header names a header.
+func isNamed(connection []string, name string) bool {
+	for _, value := range connection {
+		for token := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(textproto.TrimString(token), name) {
+				return true
+			}
 		}
 	}
-	for _, name := range hopByHop {
-		delete(out, name)
+	return false
+}
+
+// The values of headers that are the same for many requests; they are never
+// changed.
+var (
+	plainProto  = []string{"http"}
+	secureProto = []string{"https"}
+	// noValue keeps the transport from adding a header of its own.
+	noValue   = []string{""}
+	rankNames = namesOfRanks()
+)
+
+func namesOfRanks() [mustardramp.RankCount][]string {
+	var names [mustardramp.RankCount][]string
+	for _, rank := range mustardramp.Ranks() {
+		names[rank] = []string{rank.String()}
 	}
-	return out
+	return names
 }
 
 // outgoing returns the headers of an attempt.
 func (x *exchange) outgoing() http.Header {
 	header := forwardable(x.r.Header)
 	header["X-Forwarded-For"] = append(slices.Clip(x.r.Header["X-Forwarded-For"]), addressOf(x.r))
+	header["X-Forwarded-Proto"] = plainProto
 	if x.r.TLS != nil {
-		header["X-Forwarded-Proto"] = []string{"https"}
-	} else {
-		header["X-Forwarded-Proto"] = []string{"http"}
+		header["X-Forwarded-Proto"] = secureProto
 	}
 	header[HeaderTimeout] = []string{x.remaining()}
-	header[HeaderRank] = []string{x.route.Rank.String()}
+	header[HeaderRank] = rankNames[x.route.Rank]
 	if _, ok := header["User-Agent"]; !ok {
-		// An empty value keeps the transport from adding its own.
-		header["User-Agent"] = []string{""}
+		header["User-Agent"] = noValue
 	}
 	return header
 }
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -247,7 +246,7 @@
 // writeHeader starts the answer to the caller.
 func (x *exchange) writeHeader(status int, from, trailer http.Header) {
 	target := x.w.Header()
-	maps.Copy(target, forwardable(from))
+	pass(target, from)
 	for name := range trailer {
 		target.Add("Trailer", name)
 	}
