Bound asks by their rank's wait and keep connections by host

Cause: a call's default time-out of 2 s is shorter than the wait of a rank, so that a waiting ask would have marked its keeper as down; the table of connections was behind one lock; a keeper that had not started a service counted as down. Change: each ask has its rank's longest wait and a grace; connections are found without a lock; only silence marks a keeper as down; asks of unknown ranks and groups are refused.

--- a/internal/lease/network.go
+++ b/internal/lease/network.go
@@ -29,9 +29,6 @@
 		if p == nil {
 			return Grant{}, ErrPeer.New("service %s has not started on this host", ask.Service)
 		}
-		if ask.Rank >= mustardramp.RankCount {
-			return Grant{}, ErrPeer.New("unknown rank %d", ask.Rank)
-		}
 		return p.Grant(ctx, ask)
 	})
 	link.Handle(router, methodReport, func(_ context.Context, report Report) (struct{}, error) {
@@ -53,21 +50,27 @@
 	// New returns a client; nil stands for a plain one.
 	New func(netip.AddrPort) *link.Client
 
-	mu      sync.Mutex
-	clients map[netip.AddrPort]*clients
-	closed  bool
+	// clients holds the connections by host.
+	clients sync.Map
+
+	mu     sync.Mutex
+	closed bool
 }
 
 var _ Peers = (*Network)(nil)
 
 // clients are the connections to one host.
 type clients struct {
+	address netip.AddrPort
 	ranks   [mustardramp.RankCount]*link.Client
 	reports *link.Client
 }
 
 // Ask implements Peers.
 func (n *Network) Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Grant, error) {
+	if ask.Rank >= mustardramp.RankCount {
+		return Grant{}, ErrPeer.New("unknown rank %d", ask.Rank)
+	}
 	c, err := n.reach(host)
 	if err != nil {
 		return Grant{}, err
@@ -85,40 +88,68 @@
 	return err
 }
 
+// Keep ends the connections to the hosts that are not listed.
+func (n *Network) Keep(hosts []Host) {
+	listed := make(map[mustardramp.HostName]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.Name] = true
+	}
+	n.clients.Range(func(host, c any) bool {
+		if !listed[host.(mustardramp.HostName)] {
+			n.clients.Delete(host)
+			_ = c.(*clients).close()
+		}
+		return true
+	})
+}
+
 // Close ends all connections.
 func (n *Network) Close() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.closed = true
 	var group errs.Group
-	for _, c := range n.clients {
-		for _, rank := range c.ranks {
-			group.Add(rank.Close())
-		}
-		group.Add(c.reports.Close())
+	n.clients.Range(func(host, c any) bool {
+		n.clients.Delete(host)
+		group.Add(c.(*clients).close())
+		return true
+	})
+	return group.Err()
+}
+
+func (c *clients) close() error {
+	var group errs.Group
+	for _, rank := range c.ranks {
+		group.Add(rank.Close())
 	}
-	n.clients = nil
+	group.Add(c.reports.Close())
 	return group.Err()
 }
 
+// reach returns the connections to a host. It takes a lock only for a host or
+// an address that is new.
 func (n *Network) reach(host mustardramp.HostName) (*clients, error) {
 	address, ok := n.Find(host)
 	if !ok {
 		return nil, ErrPeer.New("no address of host %s is known", host)
 	}
+	if c, ok := n.clients.Load(host); ok && c.(*clients).address == address {
+		return c.(*clients), nil
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
 		return nil, ErrPeer.New("the network is closed")
 	}
-	if c := n.clients[address]; c != nil {
-		return c, nil
+	old, ok := n.clients.Load(host)
+	if ok && old.(*clients).address == address {
+		return old.(*clients), nil
 	}
-	c := n.connect(address)
-	if n.clients == nil {
-		n.clients = map[netip.AddrPort]*clients{}
+	if ok {
+		_ = old.(*clients).close()
 	}
-	n.clients[address] = c
+	c := n.connect(address)
+	n.clients.Store(host, c)
 	return c, nil
 }
 
@@ -127,10 +158,10 @@
 	if create == nil {
 		create = func(a netip.AddrPort) *link.Client { return &link.Client{Address: a} }
 	}
-	c := &clients{reports: create(address)}
+	c := &clients{address: address, reports: create(address)}
 	for r := range c.ranks {
 		c.ranks[r] = create(address)
-		// An ask waits as long as its rank allows, which its context bounds.
+		// The context of each ask bounds it.
 		c.ranks[r].Timeout = askTime
 	}
 	return c
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/link"
 	"github.com/mustardramp/mustardramp/internal/pool"
 	"github.com/mustardramp/mustardramp/pkg/contract"
 )
@@ -182,7 +183,9 @@
 		if denial, ok := err.(*mustardramp.Denial); ok {
 			return nil, denial
 		}
-		peer.fail(p.clock.Now())
+		if !link.ErrRemote.Has(err) {
+			peer.fail(p.clock.Now())
+		}
 	}
 	return p.own(ctx, g, demand)
 }
@@ -205,6 +208,8 @@
 	ask := p.newAsk(g, demand)
 	call, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	call, stop := context.WithTimeout(call, p.patience(demand.Rank))
+	defer stop()
 	if most := p.mostAsks(g, demand.Rank); !peer.begin(ask.Number, demand.Rank, most, cancel) {
 		return nil, p.pressed(g, peer, demand, most)
 	}
@@ -229,6 +234,11 @@
 	return &slot{pool: p, peer: peer, number: ask.Number, backend: grant.Backend, rank: demand.Rank}, nil
 }
 
+// patience is how long a keeper has to answer.
+func (p *Pool) patience(rank mustardramp.Rank) time.Duration {
+	return max(p.wait(rank), pool.DefaultWait) + grace
+}
+
 func (p *Pool) newAsk(g *group, demand *mustardramp.Demand) Ask {
 	ask := Ask{
 		Service: p.config.Pool.Terms.Service, Group: g.id,
@@ -269,7 +279,9 @@
 
 const (
 	// askTime bounds one ask whose context has no earlier deadline.
-	askTime = time.Minute
+	askTime = time.Hour
+	// grace is the time in which a keeper answers beyond a rank's longest wait.
+	grace = 2 * time.Second
 	// reportTime bounds one report.
 	reportTime = time.Second
 	// StepInterval is how often Step is to be called.
@@ -306,6 +318,12 @@
 
 // Grant answers the ask of another host.
 func (p *Pool) Grant(ctx context.Context, ask Ask) (Grant, error) {
+	if ask.Rank >= mustardramp.RankCount {
+		return Grant{}, ErrPeer.New("unknown rank %d", ask.Rank)
+	}
+	if p.plan.Load().byID[ask.Group] == nil {
+		return Grant{}, ErrPeer.New("no backend of group %s/%d is known here", ask.Group.Zone, ask.Group.Part)
+	}
 	return p.desk(ask.Group).grant(ctx, p.clock.Now, &ask)
 }
 
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// defaultWait is the longest time in the queue without a contract's word.
-	defaultWait = time.Second
+	// DefaultWait is the longest time in the queue without a contract's word.
+	DefaultWait = time.Second
 	// drainSmoothing is the weight of a new gap in the moving mean.
 	drainSmoothing = 0.02
 	// drainSamples is the number of gaps before the mean is used.
@@ -53,7 +53,7 @@
 func (c *Core) expiry(now time.Time, demand *mustardramp.Demand) time.Time {
 	wait := c.terms.Load().Ranks[demand.Rank].Wait
 	if wait <= 0 {
-		wait = defaultWait
+		wait = DefaultWait
 	}
 	end := now.Add(wait)
 	if demand.Deadline.IsZero() {
