Rank keepers by one pass over hashed names

Cause: a change among 6,400 hosts cost 11.4 ms for one service's plan, since all hosts were hashed and sorted for each group. Change: names are hashed once, and the best three are selected in one pass; keepers stay known while the hosts do not change.

--- /dev/null
+++ b/internal/lease/lease_bench_test.go
@@ -0,0 +1,83 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/pool"
+)
+
+// BenchmarkAcquireOwn measures one Acquire and Release at the host that keeps
+// the group, with one and with 2,000 services. Run it with -cpu 1,8.
+func BenchmarkAcquireOwn(b *testing.B) {
+	for _, services := range []int{1, 2000} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			var pools []*Pool
+			for range services {
+				p := New(Config{Pool: pool.Config{Terms: terms(), Place: kolA}, Holder: Holder{Host: "host-0"}})
+				p.SetHosts([]Host{{Name: "host-0", Place: kolA}})
+				var standings []mustardramp.Standing
+				for n := range 22 {
+					standings = append(standings, standing(n, []mustardramp.Place{kolA, kolB, silA}[n%3], 6))
+				}
+				p.Update(standings)
+				pools = append(pools, p)
+			}
+			demand := mustardramp.Demand{Rank: mustardramp.Normal, Caller: "clerk"}
+			b.ReportAllocs()
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				for i := 0; pb.Next(); i++ {
+					slot, err := pools[i%services].Acquire(context.Background(), demand)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					slot.Release(mustardramp.ResultGood, time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkAcquireOverLinks measures a lease from another host over loopback.
+func BenchmarkAcquireOverLinks(b *testing.B) {
+	net := newNetwork(4, standing(1, kolA, 100))
+	overLinks(b, net)
+	p, _ := asker(net)
+	b.ReportAllocs()
+	for b.Loop() {
+		slot, err := p.Acquire(context.Background(), mustardramp.Demand{Rank: mustardramp.Normal, Caller: "clerk"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		slot.Release(mustardramp.ResultGood, time.Millisecond)
+	}
+}
+
+// BenchmarkDivide measures the plan of one service of 30 backends before 6,400
+// hosts: once the hosts changed, and with the keepers known.
+func BenchmarkDivide(b *testing.B) {
+	places := []mustardramp.Place{kolA, kolB, silA}
+	var hosts []Host
+	for i := range 6400 {
+		hosts = append(hosts, Host{Name: mustardramp.HostName(fmt.Sprint("host-", i)), Place: places[i%3]})
+	}
+	var standings []mustardramp.Standing
+	for n := range 30 {
+		standings = append(standings, standing(n, places[n%3], 6))
+	}
+	all := candidates(hosts)
+	known := divide("patha", standings, candidates(hosts), nil)
+	for name, old := range map[string]*plan{"hosts-changed": nil, "hosts-known": known} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				divide("patha", standings, all, old)
+			}
+		})
+	}
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -301,8 +301,8 @@
 	for i := range 500 {
 		standings = append(standings, standing(i, []mustardramp.Place{kolA, kolB, silA}[i%3], 6))
 	}
-	before := divide("patha", standings, hosts)
-	after := divide("patha", standings, hosts[1:])
+	before := divide("patha", standings, candidates(hosts), nil)
+	after := divide("patha", standings, candidates(hosts[1:]), nil)
 	for _, g := range before.groups {
 		got, was := after.byID[g.id].keepers[0], g.keepers[0]
 		if was != hosts[0].Name && got != was {
@@ -313,3 +313,21 @@
 		}
 	}
 }
+
+func TestPlanFollowsHostsAndBackends(t *testing.T) {
+	p := New(Config{Pool: pool.Config{Terms: terms(), Place: kolA}, Holder: Holder{Host: "host-0"}})
+	keepers := func() int { return len(p.plan.Load().byID[GroupID{Zone: kolA.Zone}].keepers) }
+	p.Update([]mustardramp.Standing{standing(1, kolA, 1)})
+	if got := keepers(); got != 0 {
+		t.Errorf("got %d keepers without hosts, want 0", got)
+	}
+	p.SetHosts([]Host{{Name: "host-0", Place: kolA}})
+	if got := keepers(); got != 1 {
+		t.Errorf("got %d keepers with one host, want 1", got)
+	}
+	p.SetHosts([]Host{{Name: "host-1", Place: kolA}, {Name: "host-0", Place: kolA}})
+	p.Update([]mustardramp.Standing{standing(1, kolA, 1), standing(2, kolA, 1)})
+	if got := keepers(); got != 2 {
+		t.Errorf("got %d keepers with two hosts, want 2", got)
+	}
+}
--- a/internal/lease/network_test.go
+++ b/internal/lease/network_test.go
@@ -15,7 +15,7 @@
 )
 
 // overLinks moves the pools of a network in memory to links on loopback.
-func overLinks(t *testing.T, n *network) *Network {
+func overLinks(t testing.TB, n *network) *Network {
 	t.Helper()
 	addresses := map[mustardramp.HostName]netip.AddrPort{}
 	over := &Network{Find: func(host mustardramp.HostName) (netip.AddrPort, bool) {
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +46,9 @@
 	terms     pool.Terms
 	standings []mustardramp.Standing
 	hosts     []Host
-	pressure  pressure
+	// candidates are the hosts with the hashes of their names.
+	candidates []candidate
+	pressure   pressure
 }
 
 var _ mustardramp.Pool = (*Pool)(nil)
@@ -84,7 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.standings = standings
-	p.divide()
+	p.divide(p.plan.Load())
 }
 
 // SetHosts replaces the list of entry hosts that are alive. This host belongs
@@ -92,12 +96,18 @@
 func (p *Pool) SetHosts(hosts []Host) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	if slices.Equal(hosts, p.hosts) {
+		return
+	}
 	p.hosts = hosts
-	p.divide()
+	p.candidates = candidates(hosts)
+	p.divide(nil)
 }
 
-func (p *Pool) divide() {
-	next := divide(p.terms.Service, p.standings, p.hosts)
+// divide replaces the plan; the keepers come from the old one if it is given.
+func (p *Pool) divide(old *plan) {
+	next := divide(p.terms.Service, p.standings, p.candidates, old)
 	p.plan.Store(next)
 	p.desks.Range(func(id, d any) bool {
 		var standings []mustardramp.Standing
