Rank only the hosts that changed

Cause: each change of hosts ranked all of them for each group of each service, and each step divided the backends again. Change: lease.Fleet is prepared once for all services; a plan ranks added hosts, and all only when it lost a keeper; an update without a change is passed over. TestPlanByChangesIsThePlanAnew compares both over random changes.

--- a/internal/lease/lease_bench_test.go
+++ b/internal/lease/lease_bench_test.go
@@ -59,7 +59,7 @@
 }
 
 // BenchmarkDivide measures the plan of one service of 30 backends before 6,400
-// hosts: once the hosts changed, and with the keepers known.
+// hosts: anew, with the keepers known, and after one host was added.
 func BenchmarkDivide(b *testing.B) {
 	places := []mustardramp.Place{kolA, kolB, silA}
 	var hosts []Host
@@ -70,13 +70,21 @@
 	for n := range 30 {
 		standings = append(standings, standing(n, places[n%3], 6))
 	}
-	all := candidates(hosts)
-	known := divide("patha", standings, candidates(hosts), nil)
-	for name, old := range map[string]*plan{"hosts-changed": nil, "hosts-known": known} {
+	all := NewFleet(hosts)
+	known := divide("patha", standings, all, nil, change{})
+	tests := map[string]struct {
+		old *plan
+		c   change
+	}{
+		"anew":        {},
+		"hosts-known": {old: known},
+		"one-added":   {old: known, c: change{added: NewFleet([]Host{{Name: "host-x", Place: kolA}}).hosts}},
+	}
+	for name, tt := range tests {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				divide("patha", standings, all, old)
+				divide("patha", standings, all, tt.old, tt.c)
 			}
 		})
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/pool"
@@ -301,8 +303,8 @@
 	for i := range 500 {
 		standings = append(standings, standing(i, []mustardramp.Place{kolA, kolB, silA}[i%3], 6))
 	}
-	before := divide("patha", standings, candidates(hosts), nil)
-	after := divide("patha", standings, candidates(hosts[1:]), nil)
+	before := divide("patha", standings, NewFleet(hosts), nil, change{})
+	after := divide("patha", standings, NewFleet(hosts[1:]), nil, change{})
 	for _, g := range before.groups {
 		got, was := after.byID[g.id].keepers[0], g.keepers[0]
 		if was != hosts[0].Name && got != was {
@@ -331,3 +333,43 @@
 		t.Errorf("got %d keepers with two hosts, want 2", got)
 	}
 }
+
+// TestPlanByChangesIsThePlanAnew checks over random changes of the hosts that
+// ranking only what changed leads to the same keepers as ranking all.
+func TestPlanByChangesIsThePlanAnew(t *testing.T) {
+	places := []mustardramp.Place{kolA, kolB, silA}
+	var standings []mustardramp.Standing
+	for n := range 90 {
+		standings = append(standings, standing(n, places[n%3], 6))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		alive := map[int]mustardramp.Place{}
+		var known *plan
+		before := &Fleet{}
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			for range rapid.IntRange(0, 3).Draw(t, "hosts") {
+				n := rapid.IntRange(0, 12).Draw(t, "host")
+				if _, ok := alive[n]; ok && rapid.Bool().Draw(t, "leaves") {
+					delete(alive, n)
+					continue
+				}
+				alive[n] = places[rapid.IntRange(0, 2).Draw(t, "place")]
+			}
+			var hosts []Host
+			for n := range 13 {
+				if place, ok := alive[n]; ok {
+					hosts = append(hosts, Host{Name: mustardramp.HostName(fmt.Sprintf("host-%02d", n)), Place: place})
+				}
+			}
+			after := NewFleet(hosts)
+			known = divide("patha", standings, after, known, after.since(before))
+			anew := divide("patha", standings, after, nil, change{})
+			before = after
+			for _, g := range anew.groups {
+				if got, want := known.byID[g.id].keepers, g.keepers; !slices.Equal(got, want) {
+					t.Fatalf("group %v: got keepers %v, want %v", g.id, got, want)
+				}
+			}
+		}
+	})
+}
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -25,7 +25,9 @@
 	standings []mustardramp.Standing
 	// shunned lists the backends that this host does not use.
 	shunned []mustardramp.BackendID
-	// keepers are the hosts to ask, the best first.
+	// best are the hosts that keep the group, in order, and keepers their
+	// names.
+	best    []scored
 	keepers []mustardramp.HostName
 	slots   mustardramp.Slots
 	usable  int
@@ -40,9 +42,9 @@
 }
 
 // divide makes a plan. Equal sets of backends and hosts lead to equal groups
-// and keepers on each host. The keepers of groups that the old plan knows are
-// taken from it, unless it is nil.
-func divide(service mustardramp.ServiceName, standings []mustardramp.Standing, hosts []candidate, old *plan) *plan {
+// and keepers on each host. The old plan, if there is one, was made for the
+// hosts before the change.
+func divide(service mustardramp.ServiceName, standings []mustardramp.Standing, fleet *Fleet, old *plan, c change) *plan {
 	p := &plan{byID: map[GroupID]*group{}, known: len(standings)}
 	sizes := map[mustardramp.Zone]int{}
 	for i := range standings {
@@ -56,11 +58,7 @@
 		p.group(id, s.Backend.Place).add(s)
 	}
 	for _, g := range p.groups {
-		if known := old.find(g); known != nil {
-			g.keepers = known.keepers
-			continue
-		}
-		g.keepers = rank(service, g, hosts)
+		g.rank(service, fleet.hosts, old.find(g), c)
 	}
 	slices.SortFunc(p.groups, func(a, b *group) int {
 		return cmp.Or(cmp.Compare(a.id.Zone, b.id.Zone), cmp.Compare(a.id.Part, b.id.Part))
@@ -101,48 +99,55 @@
 	}
 }
 
-// candidate is a host with the hash of its name.
-type candidate struct {
-	Host
-	hash uint64
-}
-
-// candidates hashes the names once for all groups.
-func candidates(hosts []Host) []candidate {
-	all := make([]candidate, 0, len(hosts))
-	for _, h := range hosts {
-		all = append(all, candidate{Host: h, hash: xxhash.Sum64String(string(h.Name))})
-	}
-	return all
-}
-
-// rank lists the best hosts for a group: the nearest, and among those the
+// rank finds the best hosts for the group: the nearest, and among those the
 // first by rendezvous hashing, so that the loss of a host moves only the groups
-// that it kept.
-func rank(service mustardramp.ServiceName, g *group, hosts []candidate) []mustardramp.HostName {
+// that it kept. Hosts that did not change are ranked again only when one of the
+// best was lost.
+func (g *group) rank(service mustardramp.ServiceName, hosts []candidate, known *group, c change) {
+	if known != nil && !known.lost(c.removed) {
+		g.best, g.keepers = known.best, known.keepers
+		hosts = c.added
+	}
+	if len(hosts) == 0 {
+		return
+	}
+	best := slices.Clone(g.best)
 	seed := g.hash(service)
-	var best [keepersPerGroup]scored
-	n := 0
 	for i := range hosts {
 		h := &hosts[i]
 		s := scored{name: h.Name, distance: g.place.To(h.Place), score: mix(h.hash ^ seed)}
-		if n == keepersPerGroup && !s.before(&best[n-1]) {
-			continue
-		}
-		if n < keepersPerGroup {
-			n++
-		}
-		at := n - 1
-		for ; at > 0 && s.before(&best[at-1]); at-- {
-			best[at] = best[at-1]
+		best = insert(best, s)
+	}
+	g.best, g.keepers = best, nil
+	for i := range best {
+		g.keepers = append(g.keepers, best[i].name)
+	}
+}
+
+// lost reports whether one of the group's hosts was removed.
+func (g *group) lost(removed map[mustardramp.HostName]bool) bool {
+	for i := range g.best {
+		if removed[g.best[i].name] {
+			return true
 		}
-		best[at] = s
 	}
-	names := make([]mustardramp.HostName, 0, n)
-	for i := range best[:n] {
-		names = append(names, best[i].name)
+	return false
+}
+
+// insert puts a host into the order of the best.
+func insert(best []scored, s scored) []scored {
+	if len(best) == keepersPerGroup && !s.before(&best[len(best)-1]) {
+		return best
+	}
+	if len(best) < keepersPerGroup {
+		best = append(best, scored{})
+	}
+	at := len(best) - 1
+	for ; at > 0 && s.before(&best[at-1]); at-- {
+		best[at] = best[at-1]
 	}
-	return names
+	best[at] = s
+	return best
 }
 
 // scored is a host's place in the order of a group's keepers.
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -45,10 +44,8 @@
 	mu        sync.Mutex
 	terms     pool.Terms
 	standings []mustardramp.Standing
-	hosts     []Host
-	// candidates are the hosts with the hashes of their names.
-	candidates []candidate
-	pressure   pressure
+	fleet     *Fleet
+	pressure  pressure
 }
 
 var _ mustardramp.Pool = (*Pool)(nil)
@@ -58,7 +55,7 @@
 	if config.Pool.Strategy == nil {
 		config.Pool.Strategy = pool.LeastFilled{}
 	}
-	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms}
+	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms, fleet: &Fleet{}}
 	if p.clock == nil {
 		p.clock = mustardramp.SystemClock{}
 	}
@@ -87,27 +84,33 @@
 func (p *Pool) Update(standings []mustardramp.Standing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.Equal(standings, p.standings) {
+		return
+	}
 	p.standings = standings
-	p.divide(p.plan.Load())
+	p.divide(change{})
 }
 
-// SetHosts replaces the list of entry hosts that are alive. This host belongs
-// to it.
-func (p *Pool) SetHosts(hosts []Host) {
+// SetFleet replaces the entry hosts that are alive. This host belongs to them.
+func (p *Pool) SetFleet(fleet *Fleet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	if slices.Equal(hosts, p.hosts) {
+	if fleet == p.fleet {
 		return
 	}
-	p.hosts = hosts
-	p.candidates = candidates(hosts)
-	p.divide(nil)
+	c := fleet.since(p.fleet)
+	p.fleet = fleet
+	p.divide(c)
+}
+
+// SetHosts is SetFleet for a fleet of its own.
+func (p *Pool) SetHosts(hosts []Host) {
+	p.SetFleet(NewFleet(hosts))
 }
 
-// divide replaces the plan; the keepers come from the old one if it is given.
-func (p *Pool) divide(old *plan) {
-	next := divide(p.terms.Service, p.standings, p.candidates, old)
+// divide replaces the plan after a change of the hosts.
+func (p *Pool) divide(c change) {
+	next := divide(p.terms.Service, p.standings, p.fleet, p.plan.Load(), c)
 	p.plan.Store(next)
 	p.desks.Range(func(id, d any) bool {
 		var standings []mustardramp.Standing
