--- a/internal/lease/fleet.go
+++ b/internal/lease/fleet.go
@@ -32,9 +32,9 @@
 	return f
 }
 
-// Equal reports whether two fleets have the same hosts.
+// Equal reports whether the other fleet, which may be nil, has the same hosts.
 func (f *Fleet) Equal(other *Fleet) bool {
-	return slices.Equal(f.hosts, other.hosts)
+	return other != nil && slices.Equal(f.hosts, other.hosts)
 }
 
 // change is the difference between two fleets.
