Prepare the fleet once for all services

Cause: each service sorted the list of hosts at each step. Change: services.setHosts makes one lease.Fleet and hands it to all pools. This touches internal/host, since the seam changed. Conclusion: with 2,000 services a step sorts the hosts once.

--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -44,6 +44,8 @@
 	place  mustardramp.Place
 	clock  mustardramp.Clock
 	peers  lease.Peers
+	// fleet is used by the goroutine of setHosts alone.
+	fleet  *lease.Fleet
 	link   pool.Link
 	byName atomic.Pointer[map[mustardramp.ServiceName]*running]
 }
@@ -121,7 +123,12 @@
 
 // setHosts hands the list of live entry hosts to all services.
 func (s *services) setHosts(hosts []lease.Host) {
+	fleet := lease.NewFleet(hosts)
+	if fleet.Equal(s.fleet) {
+		fleet = s.fleet
+	}
+	s.fleet = fleet
 	for _, r := range s.all() {
-		r.pool.SetHosts(hosts)
+		r.pool.SetFleet(fleet)
 	}
 }
