--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,7 +25,9 @@
 	standings []mustardramp.Standing
 	// shunned lists the backends that this host does not use.
 	shunned []mustardramp.BackendID
-	// keepers are the hosts to ask, the best first.
+	// best are the hosts that keep the group, in order, and keepers their
+	// names.
+	best    []scored
 	keepers []mustardramp.HostName
 	slots   mustardramp.Slots
 	usable  int
@@ -39,8 +42,9 @@
 }
 
 // divide makes a plan. Equal sets of backends and hosts lead to equal groups
-// and keepers on each host.
-func divide(service mustardramp.ServiceName, standings []mustardramp.Standing, hosts []Host) *plan {
+// and keepers on each host. The old plan, if there is one, was made for the
+// hosts before the change.
+func divide(service mustardramp.ServiceName, standings []mustardramp.Standing, fleet *Fleet, old *plan, c change) *plan {
 	p := &plan{byID: map[GroupID]*group{}, known: len(standings)}
 	sizes := map[mustardramp.Zone]int{}
 	for i := range standings {
@@ -54,7 +58,7 @@
 		p.group(id, s.Backend.Place).add(s)
 	}
 	for _, g := range p.groups {
-		g.keepers = rank(service, g, hosts)
+		g.rank(service, fleet.hosts, old.find(g), c)
 	}
 	slices.SortFunc(p.groups, func(a, b *group) int {
 		return cmp.Or(cmp.Compare(a.id.Zone, b.id.Zone), cmp.Compare(a.id.Part, b.id.Part))
@@ -62,6 +66,18 @@
 	return p
 }
 
+// find returns the group of the same backends' place, or nil.
+func (p *plan) find(g *group) *group {
+	if p == nil {
+		return nil
+	}
+	known := p.byID[g.id]
+	if known == nil || known.place != g.place {
+		return nil
+	}
+	return known
+}
+
 func (p *plan) group(id GroupID, place mustardramp.Place) *group {
 	g := p.byID[id]
 	if g == nil {
@@ -83,34 +99,81 @@
 	}
 }
 
-// rank orders the hosts nearest to a group by rendezvous hashing, so that the
-// loss of a host moves only the groups that it kept.
-func rank(service mustardramp.ServiceName, g *group, hosts []Host) []mustardramp.HostName {
-	type scored struct {
-		name     mustardramp.HostName
-		distance mustardramp.Distance
-		score    uint64
+// rank finds the best hosts for the group: the nearest, and among those the
+// first by rendezvous hashing, so that the loss of a host moves only the groups
+// that it kept. Hosts that did not change are ranked again only when one of the
+// best was lost.
+func (g *group) rank(service mustardramp.ServiceName, hosts []candidate, known *group, c change) {
+	if known != nil && !known.lost(c.removed) {
+		g.best, g.keepers = known.best, known.keepers
+		hosts = c.added
 	}
-	all := make([]scored, 0, len(hosts))
-	for _, h := range hosts {
-		all = append(all, scored{name: h.Name, distance: g.place.To(h.Place), score: score(service, g.id, h.Name)})
+	if len(hosts) == 0 {
+		return
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
-	})
-	all = all[:min(len(all), keepersPerGroup)]
-	names := make([]mustardramp.HostName, 0, len(all))
-	for _, s := range all {
-		names = append(names, s.name)
+	best := slices.Clone(g.best)
+	seed := g.hash(service)
+	for i := range hosts {
+		h := &hosts[i]
+		s := scored{name: h.Name, distance: g.place.To(h.Place), score: mix(h.hash ^ seed)}
+		best = insert(best, s)
+	}
+	g.best, g.keepers = best, nil
+	for i := range best {
+		g.keepers = append(g.keepers, best[i].name)
+	}
+}
+
+// lost reports whether one of the group's hosts was removed.
+func (g *group) lost(removed map[mustardramp.HostName]bool) bool {
+	for i := range g.best {
+		if removed[g.best[i].name] {
+			return true
+		}
+	}
+	return false
+}
+
+// insert puts a host into the order of the best.
+func insert(best []scored, s scored) []scored {
+	if len(best) == keepersPerGroup && !s.before(&best[len(best)-1]) {
+		return best
+	}
+	if len(best) < keepersPerGroup {
+		best = append(best, scored{})
+	}
+	at := len(best) - 1
+	for ; at > 0 && s.before(&best[at-1]); at-- {
+		best[at] = best[at-1]
 	}
-	return names
+	best[at] = s
+	return best
+}
+
+// scored is a host's place in the order of a group's keepers.
+type scored struct {
+	name     mustardramp.HostName
+	distance mustardramp.Distance
+	score    uint64
+}
+
+func (s *scored) before(o *scored) bool {
+	if s.distance != o.distance {
+		return s.distance < o.distance
+	}
+	if s.score != o.score {
+		return s.score > o.score
+	}
+	return s.name < o.name
+}
+
+func (g *group) hash(service mustardramp.ServiceName) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%d", service, g.id.Zone, g.id.Part))
 }
 
-func score(service mustardramp.ServiceName, id GroupID, host mustardramp.HostName) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(string(service))
-	_, _ = d.WriteString("\x00" + string(id.Zone) + "\x00")
-	_, _ = d.Write([]byte{byte(id.Part), byte(id.Part >> 8)})
-	_, _ = d.WriteString(string(host))
-	return d.Sum64()
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/link"
 	"github.com/mustardramp/mustardramp/internal/pool"
 	"github.com/mustardramp/mustardramp/pkg/contract"
 )
@@ -42,7 +44,7 @@
 	mu        sync.Mutex
 	terms     pool.Terms
 	standings []mustardramp.Standing
-	hosts     []Host
+	fleet     *Fleet
 	pressure  pressure
 }
 
@@ -53,7 +55,7 @@
 	if config.Pool.Strategy == nil {
 		config.Pool.Strategy = pool.LeastFilled{}
 	}
-	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms}
+	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms, fleet: &Fleet{}}
 	if p.clock == nil {
 		p.clock = mustardramp.SystemClock{}
 	}
@@ -82,21 +84,33 @@
 func (p *Pool) Update(standings []mustardramp.Standing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if slices.Equal(standings, p.standings) {
+		return
+	}
 	p.standings = standings
-	p.divide()
+	p.divide(change{})
 }
 
-// SetHosts replaces the list of entry hosts that are alive. This host belongs
-// to it.
-func (p *Pool) SetHosts(hosts []Host) {
+// SetFleet replaces the entry hosts that are alive. This host belongs to them.
+func (p *Pool) SetFleet(fleet *Fleet) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hosts = hosts
-	p.divide()
+	if fleet == p.fleet {
+		return
+	}
+	c := fleet.since(p.fleet)
+	p.fleet = fleet
+	p.divide(c)
+}
+
+// SetHosts is SetFleet for a fleet of its own.
+func (p *Pool) SetHosts(hosts []Host) {
+	p.SetFleet(NewFleet(hosts))
 }
 
-func (p *Pool) divide() {
-	next := divide(p.terms.Service, p.standings, p.hosts)
+// divide replaces the plan after a change of the hosts.
+func (p *Pool) divide(c change) {
+	next := divide(p.terms.Service, p.standings, p.fleet, p.plan.Load(), c)
 	p.plan.Store(next)
 	p.desks.Range(func(id, d any) bool {
 		var standings []mustardramp.Standing
@@ -182,7 +196,9 @@
 		if denial, ok := err.(*mustardramp.Denial); ok {
 			return nil, denial
 		}
-		peer.fail(p.clock.Now())
+		if !link.ErrRemote.Has(err) {
+			peer.fail(p.clock.Now())
+		}
 	}
 	return p.own(ctx, g, demand)
 }
@@ -205,6 +221,8 @@
 	ask := p.newAsk(g, demand)
 	call, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	call, stop := context.WithTimeout(call, p.patience(demand.Rank))
+	defer stop()
 	if most := p.mostAsks(g, demand.Rank); !peer.begin(ask.Number, demand.Rank, most, cancel) {
 		return nil, p.pressed(g, peer, demand, most)
 	}
@@ -229,6 +247,11 @@
 	return &slot{pool: p, peer: peer, number: ask.Number, backend: grant.Backend, rank: demand.Rank}, nil
 }
 
+// patience is how long a keeper has to answer.
+func (p *Pool) patience(rank mustardramp.Rank) time.Duration {
+	return max(p.wait(rank), pool.DefaultWait) + grace
+}
+
 func (p *Pool) newAsk(g *group, demand *mustardramp.Demand) Ask {
 	ask := Ask{
 		Service: p.config.Pool.Terms.Service, Group: g.id,
@@ -269,7 +292,9 @@
 
 const (
 	// askTime bounds one ask whose context has no earlier deadline.
-	askTime = time.Minute
+	askTime = time.Hour
+	// grace is the time in which a keeper answers beyond a rank's longest wait.
+	grace = 2 * time.Second
 	// reportTime bounds one report.
 	reportTime = time.Second
 	// StepInterval is how often Step is to be called.
@@ -306,6 +331,12 @@
 
 // Grant answers the ask of another host.
 func (p *Pool) Grant(ctx context.Context, ask Ask) (Grant, error) {
+	if ask.Rank >= mustardramp.RankCount {
+		return Grant{}, ErrPeer.New("unknown rank %d", ask.Rank)
+	}
+	if p.plan.Load().byID[ask.Group] == nil {
+		return Grant{}, ErrPeer.New("no backend of group %s/%d is known here", ask.Group.Zone, ask.Group.Part)
+	}
 	return p.desk(ask.Group).grant(ctx, p.clock.Now, &ask)
 }
 
