--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -98,14 +98,16 @@
 		p.args = append([]string{"control", "serve", "--data", t.TempDir()}, p.common(zones[i%len(zones)], members)...)
 		p.start()
 	}
+	var seeds []string
 	for i := range entry {
 		p := &process{
 			t: t, name: fmt.Sprintf("entry-%d", i+1), link: freePort(t), admin: freePort(t),
 			traffic: freePort(t), announce: freePort(t),
 		}
 		f.entry = append(f.entry, p)
+		seeds = append(seeds, p.link)
 		p.args = append([]string{
-			"entry", "serve", "--listen", p.traffic, "--announce-listen", p.announce,
+			"entry", "serve", "--seeds", strings.Join(seeds, ","), "--listen", p.traffic, "--announce-listen", p.announce,
 			"--announce-token", "fedcba9876543210", "--caller-header", "X-Caller", "--stop-delay", "100ms",
 		}, p.common(zones[i%len(zones)], members)...)
 		p.start()
@@ -176,12 +178,18 @@
 
 // command runs the operator's command against an entry host.
 func (f *processes) command(entry int, args ...string) (string, error) {
+	f.t.Helper()
+	return f.ask(f.entry[entry].admin, args...)
+}
+
+// ask runs the operator's command against an administration address.
+func (f *processes) ask(admin string, args ...string) (string, error) {
 	f.t.Helper()
 	path, err := binary()
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	out, err := exec.Command(path, append(args, "--admin", f.entry[entry].admin, "--token", testToken)...).CombinedOutput()
+	out, err := exec.Command(path, append(args, "--admin", admin, "--token", testToken)...).CombinedOutput()
 	return string(out), err
 }
 
