Fetch the hosts before the changes

Change: hosts are fetched first; a host saves up bytes for 256 s instead of 128; a page below 4 KB is left to another peer. A test holds the case. The test fails with the former order. Conclusion: catching up no longer depends on one seed's budget.

--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -122,6 +122,12 @@
 	}
 }
 
+// fetchOrder puts hosts first: a host that knows only its seeds finds more peers
+// to share the work of its catch-up.
+var fetchOrder = [comparedKinds]mustardramp.RecordKind{
+	mustardramp.RecordHost, mustardramp.RecordChange, mustardramp.RecordBackend,
+}
+
 // compare counts differing digests, and starts to fetch from the first bucket
 // of a kind that differs.
 func (n *Node) compare(now time.Time, l *peerLink, r *Request, resp *Response) {
@@ -136,7 +142,7 @@
 	if !r.Compare {
 		return
 	}
-	for k := range mustardramp.RecordKind(comparedKinds) {
+	for _, k := range fetchOrder {
 		if mask := n.mask(k, resp.Buckets[k]); mask != 0 {
 			l.fetch = n.newFetch(k, mask, 0, true)
 			return
--- a/internal/exchange/budget.go
+++ b/internal/exchange/budget.go
@@ -16,7 +16,7 @@
 	// may use it too.
 	summaryShare = 3.0 / 8
 	// burstTime is for how long a quiet host saves up bytes for changes.
-	burstTime = 128 * time.Second
+	burstTime = 256 * time.Second
 	// summaryBurstTime is for how long it saves up bytes for summaries.
 	summaryBurstTime = 4 * time.Second
 	// reserveShare is the share of the saved bytes that pages of a catch-up
--- a/internal/exchange/fetch.go
+++ b/internal/exchange/fetch.go
@@ -13,7 +13,7 @@
 	// pageRecords bounds the bytes of records of one page before compression.
 	pageRecords = 64 << 10
 	// leastPage is the budget below which no page is sent.
-	leastPage = 1 << 10
+	leastPage = 4 << 10
 )
 
 // newFetch asks for a range of keys in the buckets of the mask, beginning above
--- a/internal/exchange/mesh_test.go
+++ b/internal/exchange/mesh_test.go
@@ -26,6 +26,8 @@
 	addresses map[netip.AddrPort]mustardramp.HostName
 	events    events
 	count     int
+	// oneSeed lets hosts that join know one seed only.
+	oneSeed bool
 	// loss is the probability that one message is lost.
 	loss float64
 	// cut holds the directions over which nothing passes.
@@ -109,6 +111,9 @@
 	for s := range seedCount {
 		seeds = append(seeds, address(s))
 	}
+	if m.oneSeed {
+		seeds = seeds[:1]
+	}
 	c := NewCore(m.now, self, seeds, 0)
 	m.nodes[self.Name] = c
 	delete(m.down, self.Name)
--- a/internal/exchange/node_test.go
+++ b/internal/exchange/node_test.go
@@ -140,6 +140,27 @@
 	}
 }
 
+// The configuration may exceed what one peer has saved up: a host that knows
+// one seed only must still catch up.
+func TestCatchUpBeyondTheBudgetOfOnePeer(t *testing.T) {
+	m := newMesh(t, 1, 10)
+	for i := range 1000 {
+		r := contractChange(fmt.Sprint("service-", i), uint64(i+1))
+		for _, host := range m.names {
+			m.nodes[host].Offer(m.now, r)
+		}
+	}
+	m.run(time.Second)
+	seed := m.nodes[name(0)].Node
+	seed.budget.force(m.now, int(seed.budget.forNews(m.now)*0.6))
+	m.oneSeed = true
+	n := m.join(3, 1)
+	m.run(10 * time.Second)
+	if got, want := n.Node.State(), seed.State(); got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // A host that was cut off keeps what only it knows, and takes what it missed.
 func TestBothSidesOfACutMerge(t *testing.T) {
 	m := newMesh(t, 3, 12)
