--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -91,9 +91,12 @@
 	l.at, l.idle = now.Add(n.budget.pause(now)), now.Add(n.jitter(heartbeat))
 	for i, stub := range r.Have {
 		if i < len(resp.Replies) {
-			l.settle(now, stub, resp.Replies[i])
+			n.settle(now, l, stub, resp.Replies[i])
 		}
 	}
+	for _, stub := range r.pushed {
+		n.noteCopy(l, stub.ref(), stub.Version)
+	}
 	news, err := n.takePage(now, l, r.Fetch, resp.Page)
 	if err != nil {
 		return nil, err
@@ -108,16 +111,23 @@
 }
 
 // settle follows a reply to an offered record.
-func (l *peerLink) settle(now time.Time, stub Stub, reply Reply) {
+func (n *Node) settle(now time.Time, l *peerLink, stub Stub, reply Reply) {
 	switch reply {
 	case ReplyWanted:
 		l.out.put(stub.ref(), outItem{wanted: true})
 	case ReplyLater:
 		l.out.put(stub.ref(), outItem{due: now.Add(offerPause)})
 	case ReplyKnown:
+		n.noteCopy(l, stub.ref(), stub.Version)
 	}
 }
 
+// fetchOrder puts hosts first: a host that knows only its seeds finds more peers
+// to share the work of its catch-up.
+var fetchOrder = [comparedKinds]mustardramp.RecordKind{
+	mustardramp.RecordHost, mustardramp.RecordChange, mustardramp.RecordBackend,
+}
+
 // compare counts differing digests, and starts to fetch from the first bucket
 // of a kind that differs.
 func (n *Node) compare(now time.Time, l *peerLink, r *Request, resp *Response) {
@@ -132,7 +142,7 @@
 	if !r.Compare {
 		return
 	}
-	for k := range mustardramp.RecordKind(comparedKinds) {
+	for _, k := range fetchOrder {
 		if mask := n.mask(k, resp.Buckets[k]); mask != 0 {
 			l.fetch = n.newFetch(k, mask, 0, true)
 			return
--- a/internal/exchange/node_test.go
+++ b/internal/exchange/node_test.go
@@ -140,6 +140,27 @@
 	}
 }
 
+// The configuration may exceed what one peer has saved up: a host that knows
+// one seed only must still catch up.
+func TestCatchUpBeyondTheBudgetOfOnePeer(t *testing.T) {
+	m := newMesh(t, 1, 10)
+	for i := range 1000 {
+		r := contractChange(fmt.Sprint("service-", i), uint64(i+1))
+		for _, host := range m.names {
+			m.nodes[host].Offer(m.now, r)
+		}
+	}
+	m.run(time.Second)
+	seed := m.nodes[name(0)].Node
+	seed.budget.force(m.now, int(seed.budget.forNews(m.now)*0.6))
+	m.oneSeed = true
+	n := m.join(3, 1)
+	m.run(10 * time.Second)
+	if got, want := n.Node.State(), seed.State(); got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // A host that was cut off keeps what only it knows, and takes what it missed.
 func TestBothSidesOfACutMerge(t *testing.T) {
 	m := newMesh(t, 3, 12)
@@ -278,6 +299,26 @@
 	}
 }
 
+// Control may be lost as soon as two entry hosts hold a change.
+func TestChangeOutlivesControl(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		m := newMesh(t, seed, 40)
+		m.lose(1, 2, 3, 4)
+		r := change("patha", 7, 3000)
+		m.offer(name(0), r)
+		for m.nodes[name(0)].Node.Copies(r) < 2 {
+			m.run(time.Millisecond)
+		}
+		m.lose(0)
+		m.run(changeBound)
+		for _, host := range m.names {
+			if got := m.nodes[host].Node.Newest(); got != 7 && !m.down[host] {
+				t.Errorf("seed %d: %s holds change %d after %v, want 7", seed, host, got, changeBound)
+			}
+		}
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	var p packer
 	packed, err := p.pack([]mustardramp.Record{change("patha", 1, 1000)})
