Measure what the real binary adds to a call

Cause: added latency and the cost of a call must come from a command in the repository. Conclusion: the figures wait for a quiet machine.

--- /dev/null
+++ b/script/load/loop.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// maxOpen bounds the calls under way in the open loop; one that finds no
+	// place is counted as late, and its wait counts as latency.
+	maxOpen = 2048
+	// maxLatency is the longest latency that a histogram holds, in microseconds.
+	maxLatency = 60_000_000
+	// rounds is how often the closed loop changes between the two ways.
+	rounds = 4
+)
+
+// sample holds the latencies of one way.
+type sample struct {
+	mu     sync.Mutex
+	hist   *hdrhistogram.Histogram
+	failed atomic.Int64
+}
+
+func newSample() *sample {
+	return &sample{hist: hdrhistogram.New(1, maxLatency, 3)}
+}
+
+func (s *sample) take(latency time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hist.RecordValue(latency.Microseconds())
+}
+
+// openLoop sends calls at times that do not depend on the answers. Each call
+// goes one of the two ways by lot; its latency counts from the planned time.
+func openLoop(ctx context.Context, s *settings, direct, through *target) error {
+	random := rand.New(rand.NewPCG(s.Seed, s.Seed))
+	samples := map[*target]*sample{direct: newSample(), through: newSample()}
+	var group errgroup.Group
+	group.SetLimit(maxOpen)
+	start := time.Now()
+	planned := start
+	for planned.Sub(start) < s.Span {
+		planned = planned.Add(time.Duration(random.ExpFloat64() / s.Rate * float64(time.Second)))
+		way := direct
+		if random.IntN(2) == 1 {
+			way = through
+		}
+		at := planned
+		time.Sleep(time.Until(at))
+		group.Go(func() error {
+			if err := way.call(ctx); err != nil {
+				samples[way].failed.Add(1)
+				return nil
+			}
+			return samples[way].take(time.Since(at))
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	printLatencies(samples[direct], samples[through])
+	return nil
+}
+
+func printLatencies(direct, through *sample) {
+	for name, s := range map[string]*sample{"direct": direct, "through": through} {
+		fmt.Printf("open-loop way=%s calls=%d failed=%d p50=%dus p99=%dus max=%dus\n", name, s.hist.TotalCount(), s.failed.Load(),
+			s.hist.ValueAtQuantile(50), s.hist.ValueAtQuantile(99), s.hist.Max())
+	}
+	for _, q := range []float64{50, 99} {
+		d, t := direct.hist.ValueAtQuantile(q), through.hist.ValueAtQuantile(q)
+		fmt.Printf("open-loop added p%g=%dus ratio=%.2f\n", q, t-d, float64(t)/float64(max(d, 1)))
+	}
+}
+
+// closedLoop keeps all callers busy, in turns on each way, and reads the CPU
+// time of the entry host meanwhile.
+func closedLoop(ctx context.Context, s *settings, direct, through *target) error {
+	var calls [2]int64
+	var cpu time.Duration
+	for range rounds {
+		for i, way := range []*target{direct, through} {
+			before := cpuTime(s.Process)
+			n, err := saturate(ctx, s, way)
+			if err != nil {
+				return err
+			}
+			calls[i] += n
+			if way == through {
+				cpu += cpuTime(s.Process) - before
+			}
+		}
+	}
+	seconds := s.Span.Seconds()
+	fmt.Printf("closed-loop direct=%.0f/s through=%.0f/s ratio=%.3f\n", float64(calls[0])/seconds, float64(calls[1])/seconds,
+		float64(calls[1])/float64(max(calls[0], 1)))
+	if cpu > 0 {
+		each := cpu / time.Duration(max(calls[1], 1))
+		fmt.Printf("closed-loop cpu=%s/call calls-per-core=%.0f/s\n", each, 1/each.Seconds())
+	}
+	return nil
+}
+
+func saturate(ctx context.Context, s *settings, way *target) (int64, error) {
+	var calls atomic.Int64
+	end := time.Now().Add(s.Span / rounds)
+	var group errgroup.Group
+	for range s.Callers {
+		group.Go(func() error {
+			for time.Now().Before(end) {
+				if err := way.call(ctx); err != nil {
+					return err
+				}
+				calls.Add(1)
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	return calls.Load(), err
+}
