Leave claims without a reply to the ledger

Cause: the ledger's client abandons a question that was not answered, so that the number in Claim and the entry host's own repair stood for the same thing twice, and the repair would have asked for a second claim. Change: both are gone; the seam says that the ledger frees such a claim.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -104,17 +104,10 @@
 	}
 }
 
-// askOnce sends one numbered claim. When no reply comes, the claim may have
-// been granted unheard, so it is disowned.
 func (x *exchange) askOnce(ctx context.Context, claim *mustardramp.Claim) (mustardramp.ClaimReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	claim.Ask = x.h.asked.Add(1)
-	reply, err := x.h.config.Ledger.Claim(ctx, *claim)
-	if err != nil {
-		x.h.settler.disown(*claim)
-	}
-	return reply, err
+	return x.h.config.Ledger.Claim(ctx, *claim)
 }
 
 // sleep reports false when the context ended or the caller left first.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,6 @@
 	buffers   sync.Pool
 	held      atomic.Int64
 	inFlight  atomic.Int64
-	asked     atomic.Uint64
 	spread    atomic.Uint64
 	// draining hosts close each connection with its answer; stopping ones take
 	// no new request.
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -69,13 +69,15 @@
 	}
 }
 
-// TestClaimReplyLost checks that a claim which was granted unheard is given
-// back.
+// TestClaimReplyLost checks that nothing is sent under a claim without a reply.
 func TestClaimReplyLost(t *testing.T) {
 	var count atomic.Int64
 	f := newFixture(t, serve(t, certifier(&count)))
 	f.ledger.set(false, 1)
 	f.wantRefusal(t, f.certify(t, "k", "x"), mustardramp.KindLedger, mustardramp.Unsent())
+	if got := len(f.pool.demands); got != 0 {
+		t.Errorf("demands: got %d, want 0", got)
+	}
 	if got, want := text(t, f.certify(t, "k", "x")), "certified 1"; got != want {
 		t.Errorf("answer: got %q, want %q", got, want)
 	}
--- a/ledger.go
+++ b/ledger.go
@@ -27,10 +27,6 @@
 	Home Region `json:"home" cbor:"5,keyasint"`
 	// Keep is for how long the key is kept after its outcome.
 	Keep time.Duration `json:"keep" cbor:"6,keyasint"`
-	// Ask numbers the claims of one process, from 1. A claim resent with the
-	// same number, after its reply was lost, gets the first one's grant again
-	// and never a second grant. 0 means that the claim is not resent.
-	Ask uint64 `json:"ask,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // ClaimState is the ledger's answer to a claim.
@@ -85,7 +81,8 @@
 type Ledger interface {
 	// Claim commits a claim by a quorum before it returns ClaimGranted. An
 	// error means that the ledger was not reached or did not confirm: nothing
-	// may be dispatched.
+	// may be dispatched, and the ledger frees the claim if it was granted
+	// unheard.
 	Claim(ctx context.Context, claim Claim) (ClaimReply, error)
 	// Settle records the outcome of a granted claim.
 	Settle(ctx context.Context, settlement Settlement) error
