Check the floor over random event sequences

Cause: the floor must hold whatever fails, leaves, starts or is ejected at the same moment, at each host and over the hosts together. Change: a rapid test over 1 to 4 hosts with late and cut reports, faults that single hosts see, departures and restarts.

--- /dev/null
+++ b/internal/ejection/floor_test.go
@@ -0,0 +1,308 @@
+package ejection_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/ejection"
+)
+
+const tick = 100 * time.Millisecond
+
+// floors is a few hosts before one service, with the faults and partitions
+// that a test sets.
+type floors struct {
+	now   time.Time
+	terms ejection.Terms
+	hosts []*ejection.Ejector
+	// views holds the roster as each host knows it.
+	views [][]mustardramp.Backend
+	last  [][]mustardramp.Standing
+	// ill holds, by host, the share of requests, in tenths, that fail at each
+	// backend.
+	ill []map[mustardramp.BackendID]int
+	// cut[i][j] is true while no report of host i reaches host j.
+	cut [][]bool
+	// late[i][j] is true while reports of host i reach host j a tick later
+	// than others do.
+	late [][]bool
+	// mail holds the reports of the last tick, and older those before.
+	mail  []mustardramp.Record
+	older []mustardramp.Record
+	// calm is the number of ticks since the last change of a roster or a
+	// partition.
+	calm int
+	// partitioned is true once a report was cut.
+	partitioned bool
+}
+
+func newFloors(hosts, places, n int, terms ejection.Terms) *floors {
+	f := &floors{now: start, terms: terms}
+	list := backends(n, 6)
+	for i := range hosts {
+		name := mustardramp.HostName(fmt.Sprintf("h%d", i))
+		e := ejection.New(name, 1, zones[i%places])
+		e.Terms = func(mustardramp.ServiceName) ejection.Terms { return terms }
+		f.hosts = append(f.hosts, e)
+		f.views = append(f.views, append([]mustardramp.Backend(nil), list...))
+		f.last = append(f.last, nil)
+		f.ill = append(f.ill, map[mustardramp.BackendID]int{})
+		f.cut = append(f.cut, make([]bool, hosts))
+		f.late = append(f.late, make([]bool, hosts))
+	}
+	return f
+}
+
+// tick delivers the reports, lets work run and steps all hosts.
+func (f *floors) tick(t interface{ Fatal(...any) }) {
+	f.now = f.now.Add(tick)
+	f.calm++
+	for from := range f.mail {
+		f.deliver(t, from)
+	}
+	f.older = f.mail
+	f.mail = nil
+	for i, host := range f.hosts {
+		f.work(i, host)
+		f.last[i] = host.Step(f.now, mohor, f.views[i])
+	}
+	for _, host := range f.hosts {
+		record, err := host.Report(f.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.mail = append(f.mail, record)
+	}
+}
+
+func (f *floors) deliver(t interface{ Fatal(...any) }, from int) {
+	for to, host := range f.hosts {
+		mail := f.mail
+		if f.late[from][to] {
+			mail = f.older
+		}
+		if f.cut[from][to] || mail == nil {
+			continue
+		}
+		if err := host.Merge(f.now, mail[from]); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (f *floors) work(i int, host *ejection.Ejector) {
+	for _, st := range f.last[i] {
+		if !st.Usable() && !st.Trial {
+			continue
+		}
+		for request := range 10 {
+			result := mustardramp.ResultGood
+			if request < f.ill[i][st.Backend.ID] {
+				result = mustardramp.ResultError
+			}
+			host.Observe(mustardramp.Observation{
+				Backend: st.Backend.ID,
+				Service: mohor,
+				Caller:  mustardramp.CallerName(fmt.Sprintf("%s-%d", st.Backend.ID, request)),
+				Result:  result,
+				Latency: 10 * time.Millisecond,
+				At:      f.now,
+			})
+		}
+	}
+}
+
+// capacity is slots by what a host decided of them.
+type capacity struct {
+	serving  float64
+	left     float64
+	weighted float64
+}
+
+func (f *floors) capacity(i int) capacity {
+	var c capacity
+	for _, st := range f.last[i] {
+		if st.Backend.State != mustardramp.Serving {
+			continue
+		}
+		slots := float64(st.Backend.Slots)
+		c.serving += slots
+		if !st.Ejected && !st.Avoided {
+			c.left += slots
+			c.weighted += slots * st.Weight
+		}
+	}
+	return c
+}
+
+// check reports a floor that does not hold.
+func (f *floors) check() error {
+	const rounding = 1e-6
+	var all capacity
+	for i := range f.hosts {
+		c := f.capacity(i)
+		need := f.terms.Floor.Of(c.serving)
+		if c.left < need-rounding {
+			return fmt.Errorf("host %d leaves %g of %g slots, want %g", i, c.left, c.serving, need)
+		}
+		if c.weighted < need-rounding {
+			return fmt.Errorf("host %d leaves a weight of %g of %g slots, want %g", i, c.weighted, c.serving, need)
+		}
+		all.serving += c.serving
+		all.left += c.left
+	}
+	if need := f.terms.Floor.Of(all.serving); all.left < need-rounding {
+		return fmt.Errorf("the hosts together leave %g of %g slots, want %g", all.left, all.serving, need)
+	}
+	return f.checkUnion()
+}
+
+// settled is the number of ticks after a change of the roster in which all
+// hosts have heard of each other's answer to it.
+const settled = 5
+
+// checkUnion reports a floor that does not hold when a backend counts as
+// ejected once any host ejects it. Hosts that hear each other keep it.
+func (f *floors) checkUnion() error {
+	if f.partitioned || f.calm < settled {
+		return nil
+	}
+	c := f.capacity(0)
+	out := map[mustardramp.BackendID]float64{}
+	for i := range f.hosts {
+		for _, st := range f.last[i] {
+			if st.Ejected && st.Backend.State == mustardramp.Serving {
+				out[st.Backend.ID] = float64(st.Backend.Slots)
+			}
+		}
+	}
+	left := c.serving
+	for _, slots := range out {
+		left -= slots
+	}
+	if need := f.terms.Floor.Of(c.serving); left < need {
+		return fmt.Errorf("the hosts eject %d backends between them and leave %g of %g slots, want %g", len(out), left, c.serving, need)
+	}
+	return nil
+}
+
+// depart takes a backend out of one host's roster, or of all.
+func (f *floors) depart(t *rapid.T) {
+	i := rapid.IntRange(-1, len(f.views)-1).Draw(t, "departs at")
+	port := rapid.IntRange(0, 8).Draw(t, "backend")
+	f.calm = 0
+	f.partitioned = f.partitioned || i >= 0
+	for at, view := range f.views {
+		if (i < 0 || i == at) && port < len(view) {
+			f.views[at] = append(append([]mustardramp.Backend(nil), view[:port]...), view[port+1:]...)
+		}
+	}
+}
+
+// change sets the state of a backend at all hosts.
+func (f *floors) change(t *rapid.T) {
+	port := rapid.IntRange(0, 8).Draw(t, "backend")
+	state := rapid.SampledFrom([]mustardramp.BackendState{mustardramp.Starting, mustardramp.Serving, mustardramp.Leaving}).Draw(t, "state")
+	restart := rapid.Bool().Draw(t, "restart")
+	f.calm = 0
+	for at, view := range f.views {
+		if port >= len(view) {
+			continue
+		}
+		view = append([]mustardramp.Backend(nil), view...)
+		view[port].State = state
+		if restart {
+			view[port].Incarnation++
+		}
+		f.views[at] = view
+	}
+}
+
+func (f *floors) partition(t *rapid.T) {
+	from := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "from")
+	to := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "to")
+	f.cut[from][to] = !f.cut[from][to]
+	f.partitioned = true
+}
+
+// The floor holds at each step of each host and of the hosts together,
+// whatever leaves, dies, announces or fails at the same time.
+func TestFloorHolds(t *testing.T) {
+	tests := map[string][]string{
+		"connected":   {"fail", "together", "mend", "change", "late", "calm"},
+		"partitioned": {"fail", "together", "mend", "change", "depart", "partition", "late", "calm"},
+	}
+	for name, events := range tests {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkFloor(t, events) })
+		})
+	}
+}
+
+func checkFloor(t *rapid.T, events []string) {
+	terms := ejection.Terms{
+		Floor:   mustardramp.Percent(rapid.SampledFrom([]int{0, 60, 75, 80, 100}).Draw(t, "floor")),
+		Caution: 0.1,
+	}
+	hosts := rapid.IntRange(1, 4).Draw(t, "hosts")
+	places := rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "zones")
+	f := newFloors(hosts, places, rapid.IntRange(1, 9).Draw(t, "backends"), terms)
+	for range 10 {
+		f.tick(t)
+	}
+	for range rapid.IntRange(1, 12).Draw(t, "events") {
+		switch rapid.SampledFrom(events).Draw(t, "event") {
+		case "fail":
+			f.fail(t, rapid.SampledFrom([]int{3, 10}).Draw(t, "tenths"))
+		case "mend":
+			f.fail(t, 0)
+		case "together":
+			f.failTogether(t)
+		case "late":
+			f.delay(t)
+		case "depart":
+			f.depart(t)
+		case "change":
+			f.change(t)
+		case "partition":
+			f.partition(t)
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "ticks") {
+			f.tick(t)
+			if err := f.check(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+// fail sets the share of requests that fail at a backend, as some of the hosts
+// see it.
+func (f *floors) fail(t *rapid.T, tenths int) {
+	id := backends(9, 6)[rapid.IntRange(0, 8).Draw(t, "backend")].ID
+	hosts := rapid.IntRange(1, 15).Draw(t, "seen by")
+	for i := range f.ill {
+		if hosts>>i&1 == 1 {
+			f.ill[i][id] = tenths
+		}
+	}
+}
+
+// failTogether makes each host see another backend fail from now on.
+func (f *floors) failTogether(t *rapid.T) {
+	first := rapid.IntRange(0, 8).Draw(t, "first")
+	list := backends(9, 6)
+	for i := range f.ill {
+		f.ill[i][list[(first+i)%len(list)].ID] = 10
+	}
+}
+
+func (f *floors) delay(t *rapid.T) {
+	from := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "from")
+	to := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "to")
+	f.late[from][to] = !f.late[from][to]
+}
