Take the distance out of latencies by what is measured

Change: a median for each rank and distance; the difference to the least median is the path's, within an allowance.

--- a/internal/evidence/cell.go
+++ b/internal/evidence/cell.go
@@ -28,8 +28,8 @@
 type cell struct {
 	id     mustardramp.BackendID
 	handle Handle
-	// delay is the part of a latency that is due to the distance.
-	delay time.Duration
+	// distance is how far the backend is from this host.
+	distance mustardramp.Distance
 	// bit stands for the backend in the sets of a caller.
 	bit uint64
 
@@ -50,13 +50,13 @@
 	_      [cacheLine - 24]byte
 }
 
-func newCell(id mustardramp.BackendID, delay time.Duration) *cell {
+func newCell(id mustardramp.BackendID, distance mustardramp.Distance) *cell {
 	hash := xxhash.Sum64String(string(id))
 	return &cell{
-		id:     id,
-		handle: Handle(hash),
-		delay:  delay,
-		bit:    1 << (hash >> 58),
+		id:       id,
+		handle:   Handle(hash),
+		distance: distance,
+		bit:      1 << (hash >> 58),
 	}
 }
 
--- a/internal/evidence/latency.go
+++ b/internal/evidence/latency.go
@@ -5,6 +5,8 @@
 	"math/bits"
 	"sync/atomic"
 	"time"
+
+	"github.com/mustardramp/mustardramp"
 )
 
 const (
@@ -17,7 +19,7 @@
 	// slowMargin is by how much a slow answer exceeds the median at least.
 	slowMargin = 5 * time.Millisecond
 	// minSamples is the fewest latencies that make a median.
-	minSamples = 30
+	minSamples = 8
 	// keepSamples bounds the weight of old latencies in the median.
 	keepSamples = 512
 	// busySamples is the number of latencies between two refreshes above which
@@ -26,8 +28,22 @@
 	busyShare   = 8
 )
 
-// latency is the distribution of the latencies of a service's work of one
-// rank, and the limit above which one counts as slow.
+// latencies are the distributions of the latencies of a service's work of one
+// rank, by the distance of the backend.
+type latencies [distances]latency
+
+const distances = mustardramp.AcrossRegions + 1
+
+// allowances bound the part of a latency that the distance explains, there and
+// back.
+var allowances = [distances]time.Duration{
+	mustardramp.SameZone:      0,
+	mustardramp.SameRegion:    5 * time.Millisecond,
+	mustardramp.AcrossRegions: 25 * time.Millisecond,
+}
+
+// latency is the distribution of latencies at one distance, and the limit
+// above which one counts as slow.
 type latency struct {
 	buckets [octaves * subBuckets]atomic.Uint32
 	// limit is in nanoseconds; 0 means that none is known yet.
@@ -45,8 +61,30 @@
 	return limit > 0 && int64(d) > limit
 }
 
-// refresh sets the limit from the recorded latencies and ages them.
-func (l *latency) refresh() {
+// refresh sets the limits from the recorded latencies and ages them. The least
+// median of the distances stands for the backends' own time; the difference to
+// it is that of the path, as far as the distance explains it.
+func (l *latencies) refresh() {
+	var medians [distances]time.Duration
+	least := time.Duration(math.MaxInt64)
+	for i := range l {
+		medians[i] = l[i].median()
+		if medians[i] > 0 {
+			least = min(least, medians[i])
+		}
+	}
+	for i, median := range medians {
+		if median == 0 {
+			continue
+		}
+		path := min(median-least, allowances[i])
+		l[i].limit.Store(int64(path + max(slowFactor*least, least+slowMargin)))
+	}
+}
+
+// median returns the median of the recorded latencies, or 0 when they are too
+// few. It ages them when they are many.
+func (l *latency) median() time.Duration {
 	var counts [octaves * subBuckets]uint32
 	var total uint32
 	for i := range l.buckets {
@@ -54,14 +92,13 @@
 		total += counts[i]
 	}
 	if total < minSamples {
-		return
+		return 0
 	}
-	middle := median(&counts, total)
-	l.limit.Store(int64(max(slowFactor*middle, middle+slowMargin)))
 	l.busy.Store(total > busySamples)
 	if total > keepSamples {
 		l.age(&counts)
 	}
+	return median(&counts, total)
 }
 
 // age halves the counts.
--- a/internal/evidence/tally.go
+++ b/internal/evidence/tally.go
@@ -14,12 +14,6 @@
 	"github.com/mustardramp/mustardramp"
 )
 
-// Allowances for the distance between a host and a backend, there and back.
-const (
-	sameRegionDelay    = 4 * time.Millisecond
-	acrossRegionsDelay = 20 * time.Millisecond
-)
-
 // Spans of time between refreshes of what Observe compares with.
 const (
 	latencySpan = time.Second
@@ -78,7 +72,7 @@
 	// seed tells the callers of this service from those of others.
 	seed    uint64
 	cells   atomic.Pointer[map[mustardramp.BackendID]*cell]
-	ranks   [mustardramp.RankCount]latency
+	ranks   [mustardramp.RankCount]latencies
 	refresh time.Time
 }
 
@@ -101,7 +95,7 @@
 
 func (t *Tally) good(s *service, c *cell, o mustardramp.Observation) {
 	sample := rand.Uint32()
-	slow := s.ranks[o.Rank%mustardramp.RankCount].record(o.Latency-c.delay, sample>>8)
+	slow := s.ranks[o.Rank%mustardramp.RankCount][c.distance].record(o.Latency, sample>>8)
 	counter := &c.stripe[sample&(stripes-1)]
 	counter.done.Add(1)
 	if slow {
@@ -183,7 +177,7 @@
 	for _, b := range roster {
 		c := old[b.ID]
 		if c == nil {
-			c = newCell(b.ID, allowance(place.To(b.Place)))
+			c = newCell(b.ID, place.To(b.Place))
 		}
 		next[b.ID] = c
 	}
@@ -203,17 +197,6 @@
 	return true
 }
 
-func allowance(d mustardramp.Distance) time.Duration {
-	switch d {
-	case mustardramp.AcrossRegions:
-		return acrossRegionsDelay
-	case mustardramp.SameRegion:
-		return sameRegionDelay
-	default:
-		return 0
-	}
-}
-
 // Counts returns what was counted at a backend since this host knows it.
 func (t *Tally) Counts(name mustardramp.ServiceName, id mustardramp.BackendID) Counts {
 	_, c := t.find(name, id)
