Let a rolling deployment of a slower version eject nobody

Cause: the first backends to get a version four times slower were ejected, 43 to 61 times in an hour of twelve deployments; a stalled host let a pause of 300 ms count as one of a second. Change: five times the median is slow, in place of three; a backend that started less than a minute ago may be slow; a late step lets a test grow by at most 250 ms.

--- a/internal/ejection/cusum.go
+++ b/internal/ejection/cusum.go
@@ -16,6 +16,10 @@
 	tests = int(kindCount) * int(scopeCount)
 	// tick is the span over which the growth of a test is bounded.
 	tick = 100 * time.Millisecond
+	// minSpan and maxSpan bound the span for which one step lets a test grow:
+	// a host that steps late learns no more of how long a burst lasted.
+	minSpan = tick
+	maxSpan = 250 * time.Millisecond
 	// minRate is the least number of outcomes a second on which a threshold
 	// is based.
 	minRate = 1.0
@@ -46,7 +50,7 @@
 
 var shapes = [kindCount]shape{
 	failing: {margin: 0.005, step: 0.25, growth: 5},
-	slowing: {margin: 0.01, step: 0.4, growth: 2},
+	slowing: {margin: 0.01, step: 0.75, growth: 2},
 }
 
 // hypothesis is a pair of shares of bad outcomes: of a healthy backend and of
@@ -80,7 +84,7 @@
 	if n == 0 {
 		return
 	}
-	most := shapes[k].growth * max(1, span.Seconds()/tick.Seconds())
+	most := shapes[k].growth * min(max(span, minSpan), maxSpan).Seconds() / tick.Seconds()
 	c.sum = max(0, c.sum+min(h.evidence(n, bad), most))
 }
 
--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -83,7 +83,7 @@
 	terms := e.terms(name)
 	s.sync(now, backends, e.members, func(id mustardramp.BackendID) time.Time { return e.tally.Leaving(name, id) })
 	s.gather(now, &e.tally, e.fleet.Take(name), e.Place.Zone)
-	s.judge(terms)
+	s.judge(now, terms)
 	s.advance(now, s.limit(terms))
 	s.settle(now, terms, e.fleet.Voices(now, name, 2*e.spread()), 2*e.spread())
 	return s.standings(now, terms)
--- a/internal/ejection/member.go
+++ b/internal/ejection/member.go
@@ -34,6 +34,8 @@
 
 // Spans of time of the way back.
 const (
+	// coldSpan is how long after its start a backend may be slow.
+	coldSpan = time.Minute
 	// firstHold is the first time that an ejected backend is held; it doubles
 	// with each ejection in short succession.
 	firstHold = 5 * time.Second
@@ -73,6 +75,9 @@
 	handle  evidence.Handle
 	// since is when this host learned of the incarnation.
 	since time.Time
+	// started is when the incarnation started, as far as this host saw it;
+	// zero for one that was there before.
+	started time.Time
 	// left is true once the incarnation answered that it is leaving.
 	left bool
 	work roster.Work
@@ -136,6 +141,11 @@
 	return m.backend.State == mustardramp.Serving
 }
 
+// cold reports whether the backend started so recently that it may be slow.
+func (m *member) cold(now time.Time) bool {
+	return !m.started.IsZero() && now.Sub(m.started) < coldSpan
+}
+
 func (m *member) claim() evidence.Claim {
 	return evidence.Claim{Backend: m.handle, Grade: m.grade}
 }
--- a/internal/ejection/service.go
+++ b/internal/ejection/service.go
@@ -32,12 +32,12 @@
 	priors  []float64
 }
 
-// maxSpan bounds the time that one step stands for.
-const maxSpan = time.Second
+// maxStep bounds the time that one step stands for.
+const maxStep = time.Second
 
 // sync takes in the roster.
 func (s *service) sync(now time.Time, backends []mustardramp.Backend, index map[mustardramp.BackendID]*member, left func(mustardramp.BackendID) time.Time) {
-	s.span = min(now.Sub(s.stepped), maxSpan)
+	s.span = min(now.Sub(s.stepped), maxStep)
 	s.stepped = now
 	old := s.byID
 	s.byID = make(map[mustardramp.BackendID]*member, len(backends))
@@ -68,6 +68,7 @@
 // admit sets the phase of a backend that this host has not known.
 func (s *service) admit(now time.Time, m *member) {
 	if s.begun {
+		m.started = now
 		m.readmit(now, ramping, "ramps up after its start")
 	}
 }
@@ -85,6 +86,7 @@
 		m.resetTests(0)
 	}
 	if restarted || started {
+		m.started = now
 		m.readmit(now, ramping, "ramps up after its start")
 	}
 }
--- a/internal/evidence/latency.go
+++ b/internal/evidence/latency.go
@@ -15,13 +15,13 @@
 	// octaves covers latencies from 1 µs to more than 9 hours.
 	octaves = 36
 	// slowFactor is how many times the median makes an answer slow.
-	slowFactor = 3
+	slowFactor = 5
 	// slowMargin is by how much a slow answer exceeds the median at least.
 	slowMargin = 5 * time.Millisecond
 	// minSamples is the fewest latencies that make a median.
 	minSamples = 8
 	// keepSamples bounds the weight of old latencies in the median.
-	keepSamples = 512
+	keepSamples = 128
 	// busySamples is the number of latencies between two refreshes above which
 	// only one in busyShare is recorded.
 	busySamples = 1024
@@ -63,7 +63,8 @@
 
 // refresh sets the limits from the recorded latencies and ages them. The least
 // median of the distances stands for the backends' own time; the difference to
-// it is that of the path, as far as the distance explains it.
+// it is that of the path, as far as the distance explains it. A distance with
+// few latencies is given its whole allowance.
 func (l *latencies) refresh() {
 	var medians [distances]time.Duration
 	least := time.Duration(math.MaxInt64)
@@ -73,11 +74,14 @@
 			least = min(least, medians[i])
 		}
 	}
+	if least == math.MaxInt64 {
+		return
+	}
 	for i, median := range medians {
-		if median == 0 {
-			continue
+		path := allowances[i]
+		if median > 0 {
+			path = min(median-least, path)
 		}
-		path := min(median-least, allowances[i])
 		l[i].limit.Store(int64(path + max(slowFactor*least, least+slowMargin)))
 	}
 }
