--- a/path.go
+++ b/path.go
@@ -47,6 +47,19 @@
 	Step(now time.Time, service ServiceName, roster []Backend) []Standing
 }
 
+// Token names an attempt in flight. 0 names none.
+type Token uint64
+
+// Watcher is an Ejector that counts the attempts in flight, so that a backend
+// that never answers shows before the deadlines of its attempts.
+type Watcher interface {
+	// Start counts an attempt that is dispatched now and returns its token.
+	Start(service ServiceName, backend BackendID, rank Rank, at time.Time) Token
+	// Answered ends what Start began, at the first byte of the answer or at
+	// the failure. It is called once, before Observe.
+	Answered(service ServiceName, backend BackendID, token Token)
+}
+
 // RetryBudget bounds further attempts to a share of the fresh traffic.
 type RetryBudget interface {
 	// Fresh counts a first attempt.
