Give the main test half of the accepted false ejections

Change: failures over the whole fleet get half of the accepted rate, the five other tests share the rest; the margin over the peers is 0.25 %.

--- a/internal/ejection/cusum.go
+++ b/internal/ejection/cusum.go
@@ -14,6 +14,11 @@
 	// tests is the number of tests that run on each outcome: two kinds in
 	// three scopes.
 	tests = int(kindCount) * int(scopeCount)
+	// mainPart is the part of the accepted rate of false ejections that the
+	// main test, of failures over the whole fleet, may use. The others share
+	// the rest.
+	mainPart  = 0.5
+	otherPart = (1 - mainPart) / float64(tests-1)
 	// tick is the span over which the growth of a test is bounded.
 	tick = 100 * time.Millisecond
 	// minSpan and maxSpan bound the span for which one step lets a test grow:
@@ -49,7 +54,7 @@
 }
 
 var shapes = [kindCount]shape{
-	failing: {margin: 0.005, step: 0.25, growth: 5},
+	failing: {margin: 0.0025, step: 0.25, growth: 5},
 	slowing: {margin: 0.01, step: 0.75, growth: 2},
 }
 
@@ -77,6 +82,9 @@
 // alarm is at least exp(threshold) outcomes.
 type cusum struct {
 	sum float64
+	// n and bad count the outcomes since the sum left 0.
+	n   float64
+	bad float64
 }
 
 // add takes in the outcomes of a span of time.
@@ -85,12 +93,35 @@
 		return
 	}
 	most := shapes[k].growth * min(max(span, minSpan), maxSpan).Seconds() / tick.Seconds()
-	c.sum = max(0, c.sum+min(h.evidence(n, bad), most))
+	c.sum += min(h.evidence(n, bad), most)
+	if c.sum <= 0 {
+		*c = cusum{}
+		return
+	}
+	c.n += n
+	c.bad += bad
+}
+
+// thresholds are the sums at which tests alarm, so that all together alarm
+// falsely at most at the accepted rate for a backend and day.
+type thresholds struct {
+	main  float64
+	other float64
 }
 
-// threshold returns the sum at which a test alarms, so that all tests together
-// alarm falsely at most at the accepted rate for a backend and day.
-func threshold(caution, rate float64) float64 {
+func thresholdsOf(caution, rate float64) thresholds {
 	outcomes := max(rate, minRate) * daySeconds
-	return math.Log(float64(tests) * outcomes / max(caution, 1e-9))
+	accepted := max(caution, 1e-9)
+	return thresholds{
+		main:  math.Log(outcomes / (accepted * mainPart)),
+		other: math.Log(outcomes / (accepted * otherPart)),
+	}
+}
+
+// of returns the threshold of one test.
+func (t thresholds) of(sc scope, k kind) float64 {
+	if sc == fleetScope && k == failing {
+		return t.main
+	}
+	return t.other
 }
--- a/internal/ejection/detection_test.go
+++ b/internal/ejection/detection_test.go
@@ -15,7 +15,10 @@
 const (
 	// illBackend is the one that fails in a trial.
 	illBackend = 3
+	// warmUp is spent with rare reports, to save time, and settleDown with
+	// those of every tick.
 	warmUp     = 20 * time.Second
+	settleDown = 2 * time.Second
 	patience   = 20 * time.Second
 )
 
@@ -84,7 +87,10 @@
 
 func detect(seed uint64, d deployment, f fault) detection {
 	t := newTrial(seed, d)
+	t.interval = 10
 	t.run(warmUp, nil)
+	t.interval = 1
+	t.run(settleDown, nil)
 	t.model = f.model
 	begun := t.now
 	out := detection{first: patience, all: patience}
--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -57,7 +57,10 @@
 	sequence uint64
 }
 
-var _ mustardramp.Ejector = (*Ejector)(nil)
+var (
+	_ mustardramp.Ejector = (*Ejector)(nil)
+	_ mustardramp.Watcher = (*Ejector)(nil)
+)
 
 // New returns the ejector of a host.
 func New(host mustardramp.HostName, incarnation mustardramp.Incarnation, place mustardramp.Place) *Ejector {
@@ -72,6 +75,16 @@
 	}
 }
 
+// Start counts an attempt that is dispatched now and returns its token.
+func (e *Ejector) Start(service mustardramp.ServiceName, backend mustardramp.BackendID, rank mustardramp.Rank, at time.Time) mustardramp.Token {
+	return e.tally.Start(service, backend, rank, at)
+}
+
+// Answered ends what Start began.
+func (e *Ejector) Answered(service mustardramp.ServiceName, backend mustardramp.BackendID, token mustardramp.Token) {
+	e.tally.Answered(service, backend, token)
+}
+
 // Step takes in the present roster of a service and returns the decided
 // standings, in the order of the roster.
 func (e *Ejector) Step(now time.Time, name mustardramp.ServiceName, backends []mustardramp.Backend) []mustardramp.Standing {
@@ -84,7 +97,7 @@
 	s.sync(now, backends, e.members, func(id mustardramp.BackendID) time.Time { return e.tally.Leaving(name, id) })
 	s.gather(now, &e.tally, e.fleet.Take(name), e.Place.Zone)
 	s.judge(now, terms)
-	s.advance(now, s.limit(terms))
+	s.advance(now, s.limits(terms))
 	s.settle(now, terms, e.fleet.Voices(now, name, 2*e.spread()), 2*e.spread())
 	return s.standings(now, terms)
 }
--- a/internal/ejection/floor.go
+++ b/internal/ejection/floor.go
@@ -38,13 +38,13 @@
 // do not exceed what the floor spares.
 func (s *service) settle(now time.Time, terms Terms, voices evidence.Voices, wait time.Duration) {
 	spare := s.spare(terms.Floor)
-	limit := s.limit(terms)
+	limits := s.limits(terms)
 	s.learnGrades(voices)
 	s.yield(now, spare, voices)
 	s.releaseLocal(now, spare)
-	s.wish(now, limit)
-	s.follow(now, spare, limit, voices)
-	s.ejectAlarmed(now, spare, limit, voices, wait)
+	s.wish(now, limits.main)
+	s.follow(now, spare, limits.main, voices)
+	s.ejectAlarmed(now, spare, limits, voices, wait)
 }
 
 // learnGrades takes over the grades that other hosts give, so that all agree
@@ -147,12 +147,12 @@
 
 // ejectAlarmed ejects the backends whose tests alarm, as far as the floor
 // leaves room.
-func (s *service) ejectAlarmed(now time.Time, spare mustardramp.Slots, limit float64, voices evidence.Voices, wait time.Duration) {
+func (s *service) ejectAlarmed(now time.Time, spare mustardramp.Slots, limits thresholds, voices evidence.Voices, wait time.Duration) {
 	for _, m := range s.ordered() {
 		if m.out() || !m.serving() {
 			continue
 		}
-		a := s.alarm(m, limit)
+		a := s.alarm(m, limits)
 		if !a.raised || s.ejected((*member).out)+m.backend.Slots > spare {
 			continue
 		}
--- a/internal/ejection/judge.go
+++ b/internal/ejection/judge.go
@@ -10,9 +10,9 @@
 const (
 	// wishPart is the part of the threshold at which a wish to eject is made
 	// known.
-	wishPart = 0.25
+	wishPart = 0.2
 	// dropPart is the part of the threshold below which a wish is withdrawn.
-	dropPart = 0.125
+	dropPart = 0.1
 	// ceiling bounds a test's statistic, as a factor of the threshold, so that
 	// a backend that recovers is not ejected long after.
 	ceiling = 1.2
@@ -28,12 +28,12 @@
 
 // judge runs the tests of all members on the outcomes of the step.
 func (s *service) judge(now time.Time, terms Terms) {
-	limit := s.limit(terms)
+	limits := s.limits(terms)
 	trim := s.trim(terms)
 	for scope := range scopeCount {
 		for k := range kindCount {
 			s.compare(scope, k, trim)
-			s.test(now, scope, k, limit)
+			s.test(now, scope, k, limits.of(scope, k))
 		}
 	}
 }
@@ -99,15 +99,15 @@
 }
 
 // alarm returns the most weighty alarm of a member's tests.
-func (s *service) alarm(m *member, limit float64) alarm {
+func (s *service) alarm(m *member, limits thresholds) alarm {
 	for k := range kindCount {
-		if m.scopes[fleetScope].tests[k].sum >= limit && !s.pathOnly(m, k) {
+		if m.scopes[fleetScope].tests[k].sum >= limits.of(fleetScope, k) && !s.pathOnly(m, k) {
 			return alarm{raised: true, cause: m.describe(fleetScope, k)}
 		}
 	}
 	for _, sc := range []scope{zoneScope, hostScope} {
 		for k := range kindCount {
-			if m.scopes[sc].tests[k].sum >= limit {
+			if m.scopes[sc].tests[k].sum >= limits.of(sc, k) {
 				return alarm{raised: true, local: true, cause: m.describe(sc, k)}
 			}
 		}
@@ -140,7 +140,7 @@
 func (m *member) describe(sc scope, k kind) string {
 	v := &m.scopes[sc]
 	return fmt.Sprintf("%.0f %% of requests %s %s, %.0f %% at its peers",
-		100*v.windows.fast.share(k, v.peers[k]), kindNames[k], scopeNames[sc], 100*v.peers[k])
+		100*v.windows.fast.plain(k), kindNames[k], scopeNames[sc], 100*v.peers[k])
 }
 
 // illness returns the largest statistic of the tests over the whole fleet.
@@ -151,10 +151,8 @@
 
 // grading returns how ill the backend appears now.
 func (m *member) grading() evidence.Grade {
-	v := &m.scopes[fleetScope]
-	w := &v.windows.fast
-	for k := range kindCount {
-		if w.share(k, v.peers[k]) >= totalShare {
+	for _, test := range m.scopes[fleetScope].tests {
+		if test.bad >= totalShare*max(test.n, 1) {
 			return evidence.Total
 		}
 	}
--- a/internal/ejection/level.go
+++ b/internal/ejection/level.go
@@ -54,6 +54,11 @@
 	return (s.bad[k] + priorWeight*prior) / (s.n + priorWeight)
 }
 
+// plain returns the share of bad outcomes by itself.
+func (s *sample) plain(k kind) float64 {
+	return s.bad[k] / max(s.n, 1)
+}
+
 func decay(dt, span time.Duration) float64 {
 	return math.Exp(-dt.Seconds() / span.Seconds())
 }
--- a/internal/ejection/member.go
+++ b/internal/ejection/member.go
@@ -182,7 +182,7 @@
 
 func (v *measure) resetTests(sum float64) {
 	for k := range v.tests {
-		v.tests[k].sum = sum
+		v.tests[k] = cusum{sum: sum}
 	}
 }
 
@@ -195,9 +195,8 @@
 	return min(1, firstWeight+(1-firstWeight)*part)
 }
 
-// advance moves the backend on when its time has come. The threshold is that
-// of the tests.
-func (m *member) advance(now time.Time, limit float64) {
+// advance moves the backend on when its time has come.
+func (m *member) advance(now time.Time, limits thresholds) {
 	spent := now.Sub(m.entered)
 	switch m.phase {
 	case held:
@@ -206,7 +205,7 @@
 			m.enter(now, tried)
 		}
 	case tried:
-		m.endTrial(now, limit)
+		m.endTrial(now, limits)
 	case ramping:
 		if spent >= rampSpan {
 			m.readmit(now, steady, "")
@@ -219,7 +218,7 @@
 }
 
 // endTrial decides a trial by a sequential test of its outcomes.
-func (m *member) endTrial(now time.Time, limit float64) {
+func (m *member) endTrial(now time.Time, limits thresholds) {
 	passed := true
 	for k := range kindCount {
 		ratio := against(k, m.scopes[m.trialScope()].peers[k]).evidence(m.trial.n, m.trial.bad[k])
@@ -234,7 +233,7 @@
 		return
 	}
 	m.readmit(now, ramping, "ramps up after an ejection")
-	m.resetTests(probation * limit)
+	m.resetTests(probation * limits.main)
 }
 
 func (m *member) trialScope() scope {
--- a/internal/ejection/service.go
+++ b/internal/ejection/service.go
@@ -185,15 +185,15 @@
 	s.rate = keep*s.rate + (1-keep)*now
 }
 
-// limit returns the threshold of the service's tests.
-func (s *service) limit(terms Terms) float64 {
-	return threshold(terms.Caution, s.rate)
+// limits returns the thresholds of the service's tests.
+func (s *service) limits(terms Terms) thresholds {
+	return thresholdsOf(terms.Caution, s.rate)
 }
 
 // advance moves the members on.
-func (s *service) advance(now time.Time, limit float64) {
+func (s *service) advance(now time.Time, limits thresholds) {
 	for _, m := range s.members {
-		m.advance(now, limit)
+		m.advance(now, limits)
 	}
 }
 
--- a/internal/ejection/trial_test.go
+++ b/internal/ejection/trial_test.go
@@ -60,6 +60,7 @@
 	backend int
 	rank    mustardramp.Rank
 	caller  mustardramp.CallerName
+	token   mustardramp.Token
 }
 
 // arrival is a reply that arrives at a tick.
@@ -195,6 +196,7 @@
 	if r.backend, ok = t.choose(t.last[r.host]); !ok {
 		return
 	}
+	r.token = t.hosts[r.host].Start(mohor, t.list[r.backend].ID, r.rank, t.now)
 	a := arrival{r, t.model(t, r)}
 	a.latency += distances[zones[r.host%len(zones)].To(t.list[r.backend].Place)]
 	if a.latency > trialDeadline {
@@ -242,6 +244,7 @@
 }
 
 func (t *trial) observe(a arrival) {
+	t.hosts[a.host].Answered(mohor, t.list[a.backend].ID, a.token)
 	t.hosts[a.host].Observe(mustardramp.Observation{
 		Backend: t.list[a.backend].ID,
 		Service: mohor,
--- a/internal/evidence/cell.go
+++ b/internal/evidence/cell.go
@@ -33,7 +33,8 @@
 	// bit stands for the backend in the sets of a caller.
 	bit uint64
 
-	stripe [stripes]stripe
+	stripe  [stripes]stripe
+	flights [mustardramp.RankCount]flight
 	// leaving is the dispatch time, in Unix nanoseconds, of the newest attempt
 	// to which the backend answered that it is leaving, or 0.
 	leaving atomic.Int64
--- a/internal/evidence/tally.go
+++ b/internal/evidence/tally.go
@@ -74,6 +74,8 @@
 	cells   atomic.Pointer[map[mustardramp.BackendID]*cell]
 	ranks   [mustardramp.RankCount]latencies
 	refresh time.Time
+	// watched is true once attempts in flight are counted.
+	watched atomic.Bool
 }
 
 // Observe takes in the outcome of one attempt. Outcomes at backends that
@@ -95,14 +97,18 @@
 
 func (t *Tally) good(s *service, c *cell, o mustardramp.Observation) {
 	sample := rand.Uint32()
-	slow := s.ranks[o.Rank%mustardramp.RankCount][c.distance].record(o.Latency, sample>>8)
+	latency := &s.ranks[o.Rank%mustardramp.RankCount][c.distance]
+	slow := latency.record(o.Latency, sample>>8)
+	t.callers.slot(s.seed, o.Caller).record(c.bit, false)
+	stamp(&c.good, o.At)
+	if s.watched.Load() && latency.swept(o.Latency) {
+		return
+	}
 	counter := &c.stripe[sample&(stripes-1)]
 	counter.done.Add(1)
 	if slow {
 		counter.slow.Add(1)
 	}
-	t.callers.slot(s.seed, o.Caller).record(c.bit, false)
-	stamp(&c.good, o.At)
 }
 
 func (t *Tally) bad(s *service, c *cell, o mustardramp.Observation) {
@@ -112,7 +118,10 @@
 		return
 	}
 	counter := c.pick()
-	counter.done.Add(1)
+	latency := &s.ranks[o.Rank%mustardramp.RankCount][c.distance]
+	if !s.watched.Load() || !latency.swept(o.Latency) {
+		counter.done.Add(1)
+	}
 	counter.failed.Add(1)
 	stamp(&c.bad, o.At)
 }
@@ -136,6 +145,7 @@
 	defer t.mu.Unlock()
 	s := t.service(name)
 	s.prepare(t.Place, roster)
+	s.sweep(now)
 	if now.Sub(s.refresh) >= latencySpan {
 		s.refresh = now
 		for rank := range s.ranks {
