--- a/internal/ejection/member.go
+++ b/internal/ejection/member.go
@@ -34,6 +34,8 @@
 
 // Spans of time of the way back.
 const (
+	// coldSpan is how long after its start a backend may be slow.
+	coldSpan = time.Minute
 	// firstHold is the first time that an ejected backend is held; it doubles
 	// with each ejection in short succession.
 	firstHold = 5 * time.Second
@@ -73,6 +75,9 @@
 	handle  evidence.Handle
 	// since is when this host learned of the incarnation.
 	since time.Time
+	// started is when the incarnation started, as far as this host saw it;
+	// zero for one that was there before.
+	started time.Time
 	// left is true once the incarnation answered that it is leaving.
 	left bool
 	work roster.Work
@@ -136,6 +141,11 @@
 	return m.backend.State == mustardramp.Serving
 }
 
+// cold reports whether the backend started so recently that it may be slow.
+func (m *member) cold(now time.Time) bool {
+	return !m.started.IsZero() && now.Sub(m.started) < coldSpan
+}
+
 func (m *member) claim() evidence.Claim {
 	return evidence.Claim{Backend: m.handle, Grade: m.grade}
 }
@@ -172,7 +182,7 @@
 
 func (v *measure) resetTests(sum float64) {
 	for k := range v.tests {
-		v.tests[k].sum = sum
+		v.tests[k] = cusum{sum: sum}
 	}
 }
 
@@ -185,9 +195,8 @@
 	return min(1, firstWeight+(1-firstWeight)*part)
 }
 
-// advance moves the backend on when its time has come. The threshold is that
-// of the tests.
-func (m *member) advance(now time.Time, limit float64) {
+// advance moves the backend on when its time has come.
+func (m *member) advance(now time.Time, limits thresholds) {
 	spent := now.Sub(m.entered)
 	switch m.phase {
 	case held:
@@ -196,7 +205,7 @@
 			m.enter(now, tried)
 		}
 	case tried:
-		m.endTrial(now, limit)
+		m.endTrial(now, limits)
 	case ramping:
 		if spent >= rampSpan {
 			m.readmit(now, steady, "")
@@ -209,7 +218,7 @@
 }
 
 // endTrial decides a trial by a sequential test of its outcomes.
-func (m *member) endTrial(now time.Time, limit float64) {
+func (m *member) endTrial(now time.Time, limits thresholds) {
 	passed := true
 	for k := range kindCount {
 		ratio := against(k, m.scopes[m.trialScope()].peers[k]).evidence(m.trial.n, m.trial.bad[k])
@@ -224,7 +233,7 @@
 		return
 	}
 	m.readmit(now, ramping, "ramps up after an ejection")
-	m.resetTests(probation * limit)
+	m.resetTests(probation * limits.main)
 }
 
 func (m *member) trialScope() scope {
