Tell waits when what hosts expect is wrong

Change: a keeper looks every 100 ms and tells its waits when the expected ones are wrong by 25 ms and a quarter.

--- a/internal/lease/network_test.go
+++ b/internal/lease/network_test.go
@@ -139,6 +139,11 @@
 	return p.waiting[rank]
 }
 
+// stopped is a clock that stands still.
+type stopped time.Time
+
+func (s stopped) Now() time.Time { return time.Time(s) }
+
 func TestPressureTravels(t *testing.T) {
 	net := newNetwork(2, standing(1, kolA, 1))
 	overLinks(t, net)
@@ -167,6 +172,7 @@
 	for d.pool.Pressure(mustardramp.Normal) == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	other.clock = stopped(time.Now())
 	records, err := other.Pressure()
 	if err != nil || len(records) != 1 {
 		t.Fatalf("got %d records and %v, want 1", len(records), err)
--- a/internal/lease/pressure.go
+++ b/internal/lease/pressure.go
@@ -18,8 +18,10 @@
 	// probes is the number of asks that still go to a keeper whose stated wait
 	// is longer than the rank may wait, so that its relief is seen.
 	probes = 2
-	// leastChange is the change of a wait that is worth a record.
-	leastChange = 50 * time.Millisecond
+	// leastError is the error of what hosts expect that is worth a record.
+	leastError = 25 * time.Millisecond
+	// PressureInterval is how often Pressure is to be called.
+	PressureInterval = 100 * time.Millisecond
 )
 
 // ErrPressure is the class of errors for a payload that is not a Pressure.
@@ -61,24 +63,31 @@
 
 // pressure is what a host has told of the groups that it keeps.
 type pressure struct {
-	told     map[GroupID][mustardramp.RankCount]time.Duration
+	told     map[GroupID]statements
 	sequence uint64
 }
 
-// Pressure returns the records of the groups whose waits changed since the
-// last call. It is called several times a second by one goroutine.
+// statements are the waits that were told of a group, and when.
+type statements struct {
+	waits [mustardramp.RankCount]time.Duration
+	at    time.Time
+}
+
+// Pressure returns the records of the groups where what other hosts expect has
+// become wrong. It is called every PressureInterval by one goroutine.
 func (p *Pool) Pressure() ([]mustardramp.Record, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var records []mustardramp.Record
 	var group errs.Group
+	now := p.clock.Now()
 	p.desks.Range(func(key, value any) bool {
 		id := key.(GroupID)
 		said := Pressure{Service: p.terms.Service, Group: id}
 		for _, r := range mustardramp.Ranks() {
 			said.Waits[r] = value.(*desk).pool.Pressure(r)
 		}
-		if !p.pressure.changed(id, said.Waits) {
+		if !p.pressure.wrong(id, said.Waits, now) {
 			return true
 		}
 		p.pressure.sequence++
@@ -93,26 +102,25 @@
 	return records, group.Err()
 }
 
-// changed notes the waits that are told, and reports whether they are news.
-func (s *pressure) changed(id GroupID, waits [mustardramp.RankCount]time.Duration) bool {
-	old := s.told[id]
-	news := false
+// wrong notes the waits that are told, and reports whether hosts that heard the
+// last ones expect something else by now.
+func (s *pressure) wrong(id GroupID, waits [mustardramp.RankCount]time.Duration, now time.Time) bool {
+	told := s.told[id]
+	age := now.Sub(told.at)
+	wrong := false
 	for r := range waits {
-		change := (waits[r] - old[r]).Abs()
-		if change >= leastChange && change >= old[r]/4 {
-			news = true
-		}
-		if waits[r] == 0 && old[r] != 0 {
-			news = true
+		expected := max(0, told.waits[r]-age)
+		if (waits[r] - expected).Abs() >= max(leastError, waits[r]/4) {
+			wrong = true
 		}
 	}
-	if !news {
+	if !wrong {
 		return false
 	}
 	if s.told == nil {
-		s.told = map[GroupID][mustardramp.RankCount]time.Duration{}
+		s.told = map[GroupID]statements{}
 	}
-	s.told[id] = waits
+	s.told[id] = statements{waits: waits, at: now}
 	return true
 }
 
--- a/internal/pool/choice_bench_test.go
+++ b/internal/pool/choice_bench_test.go
@@ -31,7 +31,7 @@
 		{"least-filled", func(f *fleet) way { return local(f, LeastFilled{}) }},
 		{"leases-untold", func(f *fleet) way { return keepers(f, false, nil) }},
 		{"leases", leases},
-		{"carriers", func(f *fleet) way { return keepers(f, true, every(tellInterval)) }},
+		{"carriers", func(f *fleet) way { return keepers(f, true, tell()) }},
 	}
 	for _, name := range []string{"patha", "mohor", "tildel", "arkivmot"} {
 		for _, load := range []int{50, 80, 95, 120} {
--- a/internal/pool/rank_bench_test.go
+++ b/internal/pool/rank_bench_test.go
@@ -46,7 +46,7 @@
 	ways := map[string]func(*fleet) way{
 		"local":    func(f *fleet) way { return local(f, nil) },
 		"leases":   leases,
-		"carriers": func(f *fleet) way { return keepers(f, true, every(tellInterval)) },
+		"carriers": func(f *fleet) way { return keepers(f, true, tell()) },
 	}
 	for _, w := range []string{"local", "leases", "carriers"} {
 		for _, fl := range []string{"calm", "bulk", "urgent", "both"} {
--- a/internal/pool/rank_test.go
+++ b/internal/pool/rank_test.go
@@ -20,10 +20,10 @@
 	"nordavind": {size: size{hosts: 40, backends: 15, slots: 3}, shares: [3]mustardramp.Percent{0, 15, 5}},
 }
 
-// tellInterval is how often a keeper tells all hosts of its queue.
-const tellInterval = 250 * time.Millisecond
+// tell spreads the waits as lease.Pool does.
+func tell() telling { return onError(100*time.Millisecond, 25*time.Millisecond) }
 
-func leases(f *fleet) way { return keepers(f, false, every(tellInterval)) }
+func leases(f *fleet) way { return keepers(f, false, tell()) }
 
 func flooded(t *testing.T, s size, shares [mustardramp.RankCount]mustardramp.Percent, offered flood) *fleet {
 	t.Helper()
