--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -38,9 +38,6 @@
 	stepPause = 100 * time.Millisecond
 	// reportPause is the time between two reports of evidence.
 	reportPause = 500 * time.Millisecond
-	// pressurePause is the time between two statements on the queues that
-	// this host keeps.
-	pressurePause = 250 * time.Millisecond
 )
 
 // EntryConfig are the settings of an entry host, checked.
@@ -267,7 +264,7 @@
 	group.Go(func() error { return e.exchange.Run(inner) })
 	group.Go(func() error { return every(inner, stepPause, e.step) })
 	group.Go(func() error { return every(inner, reportPause, e.report) })
-	group.Go(func() error { return every(inner, pressurePause, e.reportPressure) })
+	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
 	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
 	group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
 	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.secrets.admin, e.administration()) })
