--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -41,9 +41,9 @@
 	links       links
 	exchange    *exchange.Exchange
 	// groups are the ones that this host is in; the contracts' is the first.
-	groups  []*group
-	drained     chan struct{}
-	drainOnce   sync.Once
+	groups    []*group
+	drained   chan struct{}
+	drainOnce sync.Once
 
 	linkListener, adminListener net.Listener
 }
