Wire the ledger of once-only work into hosts

Cause: routes with a key were refused, as no host had a ledger. Change: control hosts run a ledger group for each region; entry hosts claim and settle through it; operators show and settle entries.

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -15,6 +15,7 @@
 	fleetapi "github.com/mustardramp/mustardramp/gen/fleet"
 	"github.com/mustardramp/mustardramp/internal/admin"
 	"github.com/mustardramp/mustardramp/internal/exchange"
+	"github.com/mustardramp/mustardramp/internal/ledger"
 	"github.com/mustardramp/mustardramp/internal/link"
 	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/placement"
@@ -42,6 +43,7 @@
 	exchange    *exchange.Exchange
 	// groups are the ones that this host is in; the contracts' is the first.
 	groups    []*group
+	ledgers   []*ledger.Desk
 	drained   chan struct{}
 	drainOnce sync.Once
 
@@ -76,15 +78,13 @@
 	c.server.TLS = c.secrets.linkServer
 	c.links.tls = c.secrets.linkClient
 	c.state.Watch(c.spread)
-	for _, p := range placement.Groups(c.config.Control)[:1] {
+	for _, p := range placement.Groups(c.config.Control) {
 		if !p.Has(c.config.Name) {
 			continue
 		}
-		g, err := c.openGroup(p, &c.state)
-		if err != nil {
+		if err := c.join(p); err != nil {
 			return err
 		}
-		c.groups = append(c.groups, g)
 	}
 	log := c.groups[0].log
 	c.desk = registry.Desk{State: &c.state, Log: log}
@@ -103,6 +103,25 @@
 	return nil
 }
 
+// join opens this host's member of a group.
+func (c *Control) join(p placement.Group) error {
+	if p.Region == "" {
+		g, err := c.openGroup(p, &c.state)
+		c.groups = append(c.groups, g)
+		return err
+	}
+	state := &ledger.State{}
+	g, err := c.openGroup(p, state)
+	if err != nil {
+		return err
+	}
+	c.groups = append(c.groups, g)
+	desk := &ledger.Desk{Region: p.Region, Member: c.config.Name, State: state, Log: g.log, Clock: c.config.Clock}
+	desk.Serve(&c.server.Router)
+	c.ledgers = append(c.ledgers, desk)
+	return nil
+}
+
 // spread passes accepted entries on to all hosts, those of one change at once.
 // What the log's snapshot restores is passed on once the exchange exists.
 func (c *Control) spread(entries []registry.Entry) {
@@ -156,6 +175,9 @@
 	for _, g := range c.groups {
 		group.Go(func() error { return g.run(ctx) })
 	}
+	for _, d := range c.ledgers {
+		group.Go(func() error { return d.Run(ctx) })
+	}
 	group.Go(func() error {
 		return every(ctx, membersPause, func() { c.links.set(c.exchange.Members()) })
 	})
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -19,6 +19,7 @@
 	"github.com/mustardramp/mustardramp/internal/entry"
 	"github.com/mustardramp/mustardramp/internal/exchange"
 	"github.com/mustardramp/mustardramp/internal/lease"
+	"github.com/mustardramp/mustardramp/internal/ledger"
 	"github.com/mustardramp/mustardramp/internal/link"
 	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/refusal"
@@ -67,6 +68,7 @@
 	ejector   *ejection.Ejector
 	refusals  refusal.Memory
 	tally     tally.Tally
+	ledger    *ledger.Client
 	links     links
 	network   lease.Network
 	server    link.Server
@@ -147,11 +149,13 @@
 	})
 	e.roster.Pass = e.exchange.Offer
 	e.roster.Floor = func(s mustardramp.ServiceName) mustardramp.Percent { return e.terms(s).Floor }
+	e.ledger = ledger.NewClient(config.Name, e.incarnation, config.ledgerHomes(e.secrets.linkClient))
 	e.handler = entry.New(entry.Config{
 		Host:         config.Name,
 		Incarnation:  e.incarnation,
 		Contracts:    e.current,
 		Services:     &e.services,
+		Ledger:       e.ledger,
 		Observer:     e.ejector,
 		Tally:        &e.tally,
 		Clock:        e.clock,
@@ -262,6 +266,7 @@
 	e.watch()
 	group.Go(func() error { return e.server.Serve(inner, e.linkListener) })
 	group.Go(func() error { return e.exchange.Run(inner) })
+	group.Go(func() error { return e.ledger.Run(inner) })
 	group.Go(func() error { return every(inner, stepPause, e.step) })
 	group.Go(func() error { return every(inner, reportPause, e.report) })
 	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
@@ -393,6 +398,7 @@
 		Contracts: &e.contracts,
 		Refusals:  &e.refusals,
 		Fleet:     &entryView{e},
+		Ledger:    ledgerView{e.ledger},
 		Dial:      dialAdmin(e.config.AdminTLS),
 	})
 }
--- /dev/null
+++ b/internal/host/ledger.go
@@ -0,0 +1,74 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/admin"
+	"github.com/mustardramp/mustardramp/internal/ledger"
+	"github.com/mustardramp/mustardramp/internal/link"
+	"github.com/mustardramp/mustardramp/internal/placement"
+)
+
+// ledgerHomes lists links to the members of each region's ledger.
+func (c *Common) ledgerHomes(config *tls.Config) map[mustardramp.Region][]link.Caller {
+	homes := map[mustardramp.Region][]link.Caller{}
+	for _, g := range placement.Groups(c.Control) {
+		if g.Region == "" {
+			continue
+		}
+		for _, m := range c.Control {
+			if g.Has(m.Name) {
+				homes[g.Region] = append(homes[g.Region], &link.Client{Address: m.Address, TLS: config})
+			}
+		}
+	}
+	return homes
+}
+
+// ledgerView serves the administration API from the ledgers of all regions.
+type ledgerView struct{ client *ledger.Client }
+
+// Show implements admin.Ledger.
+func (v ledgerView) Show(ctx context.Context, id mustardramp.ClaimID) (admin.Entry, bool, error) {
+	view, ok, err := v.find(ctx, id)
+	return entryOf(view), ok, err
+}
+
+// find looks for the operation of a named caller, then for one of callers that
+// are known by their address only: those share one name, the empty one, since
+// a resend may come from another address.
+func (v ledgerView) find(ctx context.Context, id mustardramp.ClaimID) (ledger.View, bool, error) {
+	view, ok, err := v.client.Show(ctx, id)
+	if ok || err != nil || id.Caller == "" {
+		return view, ok, err
+	}
+	id.Caller = ""
+	return v.client.Show(ctx, id)
+}
+
+// Settle implements admin.Ledger.
+func (v ledgerView) Settle(ctx context.Context, id mustardramp.ClaimID, outcome mustardramp.Outcome, who, why string) (admin.Entry, error) {
+	found, ok, err := v.find(ctx, id)
+	if err != nil {
+		return admin.Entry{}, err
+	}
+	if !ok {
+		return admin.Entry{}, ErrHost.New("no ledger holds the key %q", id.Key)
+	}
+	view, err := v.client.Decide(ctx, found.ID, outcome, ledger.Who{Name: who, Reason: why})
+	return entryOf(view), err
+}
+
+func entryOf(v ledger.View) admin.Entry {
+	return admin.Entry{
+		ID:      v.ID,
+		State:   v.State.String(),
+		Host:    v.Host,
+		Attempt: v.Attempt,
+		Answer:  v.Answer,
+		At:      time.UnixMilli(int64(v.Changed)),
+	}
+}
--- a/pkg/cmd/ledger/show/show.go
+++ b/pkg/cmd/ledger/show/show.go
@@ -43,6 +43,6 @@
 	if o.JSON {
 		return o.factory.Streams.JSON(entry)
 	}
-	rows := [][]string{{entry.Service, entry.Caller, entry.Key, entry.State, factory.Text(entry.Host), factory.Text(entry.At)}}
+	rows := [][]string{{entry.Service, factory.Text(&entry.Caller), entry.Key, entry.State, factory.Text(entry.Host), factory.Text(entry.At)}}
 	return o.factory.Streams.Table([]string{"service", "caller", "key", "state", "host", "at"}, rows)
 }
