--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -37,15 +37,15 @@
 type plan struct {
 	groups []*group
 	byID   map[GroupID]*group
-	// known counts the backends.
-	known int
+	// known counts the backends, and hosts the hosts of the fleet.
+	known, hosts int
 }
 
 // divide makes a plan. Equal sets of backends and hosts lead to equal groups
 // and keepers on each host. The old plan, if there is one, was made for the
 // hosts before the change.
 func divide(service mustardramp.ServiceName, standings []mustardramp.Standing, fleet *Fleet, old *plan, c change) *plan {
-	p := &plan{byID: map[GroupID]*group{}, known: len(standings)}
+	p := &plan{byID: map[GroupID]*group{}, known: len(standings), hosts: len(fleet.hosts)}
 	sizes := map[mustardramp.Zone]int{}
 	for i := range standings {
 		sizes[standings[i].Backend.Place.Zone]++
