--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -83,10 +83,31 @@
 	entry    []*process
 	backends []*standin.Backend
 	group    errgroup.Group
+	// remote are the flags of the operator's command.
+	remote []string
+	// client and scheme are the callers'.
+	client *http.Client
+	scheme string
 }
 
+// startProcesses starts a fleet.
 func startProcesses(t *testing.T, control, entry int) *processes {
-	f := &processes{t: t}
+	t.Helper()
+	f := prepareProcesses(t, control, entry)
+	f.startAll()
+	return f
+}
+
+func (f *processes) startAll() {
+	for _, p := range append(f.control, f.entry...) {
+		p.start()
+	}
+	f.t.Cleanup(f.stop)
+}
+
+// prepareProcesses sets up the arguments of a fleet's processes.
+func prepareProcesses(t *testing.T, control, entry int) *processes {
+	f := &processes{t: t, remote: []string{"--token", testToken}, client: http.DefaultClient, scheme: "http"}
 	zones := []string{"kol-a/kolkata", "kol-b/kolkata", "sil-a/siliguri"}
 	var members []string
 	for i := range control {
@@ -96,7 +117,6 @@
 	}
 	for i, p := range f.control {
 		p.args = append([]string{"control", "serve", "--data", t.TempDir()}, p.common(zones[i%len(zones)], members)...)
-		p.start()
 	}
 	var seeds []string
 	for i := range entry {
@@ -110,9 +130,7 @@
 			"entry", "serve", "--seeds", strings.Join(seeds, ","), "--listen", p.traffic, "--announce-listen", p.announce,
 			"--announce-token", "fedcba9876543210", "--caller-header", "X-Caller", "--stop-delay", "100ms",
 		}, p.common(zones[i%len(zones)], members)...)
-		p.start()
 	}
-	t.Cleanup(f.stop)
 	return f
 }
 
@@ -189,7 +207,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	out, err := exec.Command(path, append(args, "--admin", admin, "--token", testToken)...).CombinedOutput()
+	out, err := exec.Command(path, append(append(args, "--admin", admin), f.remote...)...).CombinedOutput()
 	return string(out), err
 }
 
@@ -207,7 +225,7 @@
 
 // send sends a request and returns status, body and header.
 func (f *processes) send(entry int, method, host, path string, body io.Reader, header ...string) (int, string, http.Header, error) {
-	r, err := http.NewRequest(method, "http://"+f.entry[entry].traffic+path, body)
+	r, err := http.NewRequest(method, f.scheme+"://"+f.entry[entry].traffic+path, body)
 	if err != nil {
 		return 0, "", nil, err
 	}
@@ -215,7 +233,7 @@
 	for i := 0; i < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := f.client.Do(r)
 	if err != nil {
 		return 0, "", nil, err
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -193,7 +193,7 @@
 	if c.TLS == nil {
 		return counted, nil
 	}
-	secure := tls.Client(counted, c.TLS)
+	secure := tls.Client(counted, c.secrets())
 	if _, err := handshake(ctx, secure, timeout); err != nil {
 		_ = raw.Close()
 		return nil, err
@@ -201,6 +201,17 @@
 	return secure, nil
 }
 
+// secrets returns the TLS setting with the server's name: hosts are named by
+// IP number, so their certificates are checked against it.
+func (c *Client) secrets() *tls.Config {
+	if c.TLS.ServerName != "" {
+		return c.TLS
+	}
+	config := c.TLS.Clone()
+	config.ServerName = c.Address.Addr().String()
+	return config
+}
+
 func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address.String())
