Floor counts backends too; test return, flapping, cold start, targets

Cause: a backend that announces too many slots would make room for the ejection of all others. Change: the floor holds for slots and for the number of backends. Tests of misleading announcements, trial and ramp, holds, cold starts, the targets of detection in a few trials, and ten minutes of each weather.

--- a/internal/ejection/detection_test.go
+++ b/internal/ejection/detection_test.go
@@ -153,3 +153,42 @@
 	b.ReportMetric(float64(wrong), "wrong")
 	b.ReportMetric(float64(*trialSeed), "seed")
 }
+
+// The targets for the time until all 40 hosts avoid an ill backend hold in each
+// of a few trials; the benchmark gives the quantiles.
+func TestDetectionTargets(t *testing.T) {
+	const trials = 2
+	for service, d := range map[string]deployment{"dhwani": deployments["dhwani"], "tildeling": deployments["tildeling"]} {
+		for name, f := range faults {
+			if f.within == 0 && f.zone == "" {
+				continue
+			}
+			t.Run(service+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(trials) {
+					got := detect(*trialSeed+seed, d, f)
+					if f.within > 0 && got.all > f.within {
+						t.Errorf("seed %d: got %s, want at most %s", *trialSeed+seed, got.all, f.within)
+					}
+					if got.wrong > 0 {
+						t.Errorf("seed %d: got %d healthy standings ejected, want none", *trialSeed+seed, got.wrong)
+					}
+				}
+			})
+		}
+	}
+}
+
+// No healthy backend is ejected in ten minutes of each weather.
+func TestHealthyBackendsStay(t *testing.T) {
+	d := deployments["arkivmottak"]
+	for name, w := range weathers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			alarms := watch(*trialSeed, d, w(*trialSeed, d.backends), 2*cycle)
+			if got := alarms.ejected + alarms.avoided; got != 0 {
+				t.Errorf("seed %d: got %d (%v), want none", *trialSeed, got, alarms.causes)
+			}
+		})
+	}
+}
--- a/internal/ejection/ejection_test.go
+++ b/internal/ejection/ejection_test.go
@@ -169,3 +169,111 @@
 		t.Errorf("got not usable, want the new incarnation back")
 	}
 }
+
+// What a backend says of its health or its size neither keeps it in nor brings
+// it back, and ejects no other.
+func TestBackendMisleads(t *testing.T) {
+	tests := map[string]struct {
+		announce func(*mustardramp.Backend)
+		want     string
+	}{
+		"says that it is well":    {func(b *mustardramp.Backend) { b.Sequence++ }, "[3]"},
+		"says that it has 3 of 6": {func(b *mustardramp.Backend) { b.Slots = 3 }, "[3]"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := newLone(backends(22, 6))
+			l.run(100, good)
+			for range 40 {
+				test.announce(&l.list[3])
+				l.run(1, failingAt(mustardramp.ResultError, 3))
+			}
+			if got := fmt.Sprint(l.ejected()); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+func TestTooManySlotsMakeNoRoom(t *testing.T) {
+	l := newLone(backends(9, 6))
+	l.list[0].Slots = 60000
+	l.run(100, good)
+	l.run(60, failingAt(mustardramp.ResultError, 1, 2, 3, 4))
+	if got := len(l.ejected()); got > 2 {
+		t.Errorf("got %d of 9 backends ejected, want at most the 2 that a floor of 70 %% spares", got)
+	}
+}
+
+func TestReturnsByTrialAndRamp(t *testing.T) {
+	l := newLone(backends(9, 6))
+	l.run(100, good)
+	l.run(20, failingAt(mustardramp.ResultError, 3))
+	var trial bool
+	weights := []float64{}
+	for range 600 {
+		l.run(1, good)
+		trial = trial || l.last[3].Trial
+		if w := l.last[3].Weight; l.last[3].Usable() && (len(weights) == 0 || w != weights[len(weights)-1]) {
+			weights = append(weights, w)
+		}
+	}
+	if !trial {
+		t.Errorf("got no trial, want one before the return")
+	}
+	if len(weights) < 10 || weights[0] > 0.2 || weights[len(weights)-1] != 1 {
+		t.Errorf("got weights %v, want a ramp from a low weight to 1", weights)
+	}
+}
+
+// Without idempotent work there is no trial; the backend returns by a ramp.
+func TestReturnsWithoutTrial(t *testing.T) {
+	l := newLone(backends(9, 6))
+	l.run(100, good)
+	l.run(20, failingAt(mustardramp.ResultError, 3))
+	for range 600 {
+		l.now = l.now.Add(tick)
+		l.step()
+	}
+	if !l.last[3].Usable() {
+		t.Errorf("got %q, want the backend back", l.last[3].Cause)
+	}
+}
+
+func TestHoldGrowsWhenFlapping(t *testing.T) {
+	l := newLone(backends(9, 6))
+	l.run(100, good)
+	var held []int
+	for range 4 {
+		l.run(30, failingAt(mustardramp.ResultError, 3))
+		ticks := 0
+		for ticks < 3000 && !l.last[3].Trial && l.last[3].Ejected {
+			l.run(1, good)
+			ticks++
+		}
+		held = append(held, ticks)
+		for ticks := 0; ticks < 3000 && !l.last[3].Usable(); ticks++ {
+			l.run(1, good)
+		}
+	}
+	for i := 1; i < len(held); i++ {
+		if held[i] <= held[i-1] {
+			t.Errorf("got holds of %v ticks, want each longer than the one before", held)
+			break
+		}
+	}
+}
+
+func TestColdStartRamps(t *testing.T) {
+	l := newLone(backends(9, 6))
+	l.run(10, good)
+	l.list = backends(10, 6)
+	l.run(1, good)
+	if got := l.last[9].Weight; !l.last[9].Usable() || got > 0.2 {
+		t.Errorf("got weight %g, want a low one", got)
+	}
+	l.run(200, good)
+	if got := l.last[9].Weight; got != 1 {
+		t.Errorf("got weight %g after 20 s, want 1", got)
+	}
+}
--- a/internal/ejection/floor.go
+++ b/internal/ejection/floor.go
@@ -10,32 +10,67 @@
 	"github.com/mustardramp/mustardramp/internal/evidence"
 )
 
-// capacity returns the slots of the serving backends.
-func (s *service) capacity() mustardramp.Slots {
-	var all mustardramp.Slots
+// room is how much may be ejected. It counts backends as well as slots, so
+// that one backend that announces too many slots does not make room for the
+// ejection of all others.
+type room struct {
+	slots    mustardramp.Slots
+	backends int
+}
+
+func (r room) fits(m *member) bool {
+	return m.backend.Slots <= r.slots && r.backends >= 1
+}
+
+func (r *room) take(m *member) {
+	r.slots -= m.backend.Slots
+	r.backends--
+}
+
+// capacity returns the serving backends and their slots.
+func (s *service) capacity() room {
+	var all room
 	for _, m := range s.members {
 		if m.serving() {
-			all += m.backend.Slots
+			all.slots += m.backend.Slots
+			all.backends++
 		}
 	}
 	return all
 }
 
-// spare returns how many slots may be ejected: the capacity without the floor,
-// which is rounded up to whole slots.
-func (s *service) spare(floor mustardramp.Percent) mustardramp.Slots {
+// spare returns how much may be ejected: the capacity without the floor, which
+// is rounded up to whole slots and backends.
+func (s *service) spare(floor mustardramp.Percent) room {
 	all := s.capacity()
-	least := mustardramp.Slots(math.Ceil(floor.Of(float64(all)) - roundingError))
-	return max(0, all-least)
+	return room{
+		slots:    all.slots - mustardramp.Slots(atLeast(floor, float64(all.slots))),
+		backends: all.backends - int(atLeast(floor, float64(all.backends))),
+	}
+}
+
+// atLeast returns the whole number that the floor asks for.
+func atLeast(floor mustardramp.Percent, all float64) float64 {
+	return min(all, math.Ceil(floor.Of(all)-roundingError))
 }
 
-// roundingError keeps a floor that is a whole number of slots from being
-// rounded up by one.
+// roundingError keeps a floor that is a whole number from being rounded up by
+// one.
 const roundingError = 1e-9
 
-// settle decides which backends are ejected. Its steps keep two bounds: the
-// slots that this host ejects, and the slots that any host is known to eject,
-// do not exceed what the floor spares.
+// without returns the room that the serving backends of a condition leave.
+func (s *service) without(spare room, condition func(*member) bool) room {
+	for _, m := range s.members {
+		if m.serving() && condition(m) {
+			spare.take(m)
+		}
+	}
+	return spare
+}
+
+// settle decides which backends are ejected. Its steps keep two bounds: what
+// this host ejects, and what any host is known to eject, do not exceed what the
+// floor spares.
 func (s *service) settle(now time.Time, terms Terms, voices evidence.Voices, wait time.Duration) {
 	spare := s.spare(terms.Floor)
 	limits := s.limits(terms)
@@ -64,15 +99,15 @@
 
 // yield ends this host's ejections that do not fit beside those of all hosts,
 // in the common order of claims. The least ill backend returns first.
-func (s *service) yield(now time.Time, spare mustardramp.Slots, voices evidence.Voices) {
+func (s *service) yield(now time.Time, spare room, voices evidence.Voices) {
 	for _, m := range s.ordered() {
 		voice, spoken := voices.Ejected[m.handle]
 		spoken = spoken && voice.Hosts > 0
 		if !m.serving() || !m.everywhere() && !spoken {
 			continue
 		}
-		if m.backend.Slots <= spare {
-			spare -= m.backend.Slots
+		if spare.fits(m) {
+			spare.take(m)
 			continue
 		}
 		if m.everywhere() {
@@ -83,14 +118,14 @@
 
 // releaseLocal ends ejections by this host alone that do not fit beside the
 // others.
-func (s *service) releaseLocal(now time.Time, spare mustardramp.Slots) {
-	spare -= s.ejected((*member).everywhere)
+func (s *service) releaseLocal(now time.Time, spare room) {
+	spare = s.without(spare, (*member).everywhere)
 	for _, m := range s.ordered() {
 		if !m.serving() || !m.out() || !m.local {
 			continue
 		}
-		if m.backend.Slots <= spare {
-			spare -= m.backend.Slots
+		if spare.fits(m) {
+			spare.take(m)
 			continue
 		}
 		s.release(now, m)
@@ -123,7 +158,7 @@
 // follow ejects the backends that other hosts eject already: those that this
 // host's own evidence points at, and, for a host that knows nothing yet, those
 // that most hosts eject.
-func (s *service) follow(now time.Time, spare mustardramp.Slots, limit float64, voices evidence.Voices) {
+func (s *service) follow(now time.Time, spare room, limit float64, voices evidence.Voices) {
 	for _, m := range s.ordered() {
 		voice := voices.Ejected[m.handle]
 		if voice.Hosts == 0 || m.out() || !m.serving() {
@@ -134,7 +169,7 @@
 		if !agrees && !joins {
 			continue
 		}
-		if s.ejected((*member).out)+m.backend.Slots > spare {
+		if !s.without(spare, (*member).out).fits(m) {
 			continue
 		}
 		m.grade = max(m.grade, voice.Grade)
@@ -147,13 +182,13 @@
 
 // ejectAlarmed ejects the backends whose tests alarm, as far as the floor
 // leaves room.
-func (s *service) ejectAlarmed(now time.Time, spare mustardramp.Slots, limits thresholds, voices evidence.Voices, wait time.Duration) {
+func (s *service) ejectAlarmed(now time.Time, spare room, limits thresholds, voices evidence.Voices, wait time.Duration) {
 	for _, m := range s.ordered() {
 		if m.out() || !m.serving() {
 			continue
 		}
 		a := s.alarm(m, limits)
-		if !a.raised || s.ejected((*member).out)+m.backend.Slots > spare {
+		if !a.raised || !s.without(spare, (*member).out).fits(m) {
 			continue
 		}
 		if !a.local && !s.granted(now, m, spare, voices, wait) {
@@ -165,20 +200,17 @@
 
 // granted reports whether a wish to eject has been known for long enough, and
 // fits beside the ejections of all hosts and the wishes that go before it.
-func (s *service) granted(now time.Time, m *member, spare mustardramp.Slots, voices evidence.Voices, wait time.Duration) bool {
+func (s *service) granted(now time.Time, m *member, spare room, voices evidence.Voices, wait time.Duration) bool {
 	if m.wished.IsZero() {
 		return false
 	}
 	if voices.Hosts > 0 && now.Sub(m.wished) < wait {
 		return false
 	}
-	claimed := m.backend.Slots
-	for _, other := range s.members {
-		if other != m && other.serving() && s.claimedBefore(other, m, voices) {
-			claimed += other.backend.Slots
-		}
-	}
-	return claimed <= spare
+	left := s.without(spare, func(other *member) bool {
+		return other != m && s.claimedBefore(other, m, voices)
+	})
+	return left.fits(m)
 }
 
 // claimedBefore reports whether any host ejects a backend, or wishes to and
@@ -194,17 +226,6 @@
 	return ok && evidence.Claim{Backend: other.handle, Grade: grade}.Before(m.claim())
 }
 
-// ejected sums the slots of the serving backends that fit the condition.
-func (s *service) ejected(condition func(*member) bool) mustardramp.Slots {
-	var sum mustardramp.Slots
-	for _, m := range s.members {
-		if m.serving() && condition(m) {
-			sum += m.backend.Slots
-		}
-	}
-	return sum
-}
-
 // ordered returns the members in the common order of claims.
 func (s *service) ordered() []*member {
 	out := slices.Clone(s.members)
--- a/internal/ejection/floor_test.go
+++ b/internal/ejection/floor_test.go
@@ -40,9 +40,12 @@
 	partitioned bool
 }
 
-func newFloors(hosts, places, n int, terms ejection.Terms) *floors {
+func newFloors(hosts, places int, sizes []mustardramp.Slots, n int, terms ejection.Terms) *floors {
 	f := &floors{now: start, terms: terms}
 	list := backends(n, 6)
+	for i := range list {
+		list[i].Slots = sizes[i%len(sizes)]
+	}
 	for i := range hosts {
 		name := mustardramp.HostName(fmt.Sprintf("h%d", i))
 		e := ejection.New(name, 1, zones[i%places])
@@ -121,6 +124,9 @@
 	serving  float64
 	left     float64
 	weighted float64
+	// backends and kept count backends in place of slots.
+	backends float64
+	kept     float64
 }
 
 func (f *floors) capacity(i int) capacity {
@@ -131,8 +137,10 @@
 		}
 		slots := float64(st.Backend.Slots)
 		c.serving += slots
+		c.backends++
 		if !st.Ejected && !st.Avoided {
 			c.left += slots
+			c.kept++
 			c.weighted += slots * st.Weight
 		}
 	}
@@ -149,6 +157,9 @@
 		if c.left < need-rounding {
 			return fmt.Errorf("host %d leaves %g of %g slots, want %g", i, c.left, c.serving, need)
 		}
+		if need := f.terms.Floor.Of(c.backends); c.kept < need-rounding {
+			return fmt.Errorf("host %d leaves %g of %g backends, want %g", i, c.kept, c.backends, need)
+		}
 		if c.weighted < need-rounding {
 			return fmt.Errorf("host %d leaves a weight of %g of %g slots, want %g", i, c.weighted, c.serving, need)
 		}
@@ -250,7 +261,8 @@
 	}
 	hosts := rapid.IntRange(1, 4).Draw(t, "hosts")
 	places := rapid.SampledFrom([]int{1, 2, 4}).Draw(t, "zones")
-	f := newFloors(hosts, places, rapid.IntRange(1, 9).Draw(t, "backends"), terms)
+	sizes := rapid.SampledFrom([][]mustardramp.Slots{{6}, {3, 6}, {6, 6, 1000}}).Draw(t, "slots")
+	f := newFloors(hosts, places, sizes, rapid.IntRange(1, 9).Draw(t, "backends"), terms)
 	for range 10 {
 		f.tick(t)
 	}
--- a/internal/ejection/service.go
+++ b/internal/ejection/service.go
@@ -233,7 +233,7 @@
 		ready += w * slots
 		missing += (1 - w) * slots
 	}
-	need := floor.Of(float64(s.capacity()))
+	need := floor.Of(float64(s.capacity().slots))
 	if ready >= need || missing == 0 {
 		return 0
 	}
