--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -21,7 +21,7 @@
 const startLimit = time.Minute
 
 // start runs a fleet until the test ends.
-func start(t *testing.T, size fleet.Size) *fleet.Fleet {
+func start(t testing.TB, size fleet.Size) *fleet.Fleet {
 	t.Helper()
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -241,6 +241,14 @@
 	return n
 }
 
+// Standings returns what the host decided about a service's backends.
+func (e *Entry) Standings(service mustardramp.ServiceName) []mustardramp.Standing {
+	if r := e.services.running(service); r != nil {
+		return r.Standings()
+	}
+	return nil
+}
+
 // Hosts counts the other hosts that this one knows.
 func (e *Entry) Hosts() int {
 	return e.links.count()
