Let a started host ask as many peers as it needs to be ready

Change: until a host is ready it also links to hosts of its region, then of others; the links of ready hosts stay as they were.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -64,8 +65,13 @@
 	for _, key := range c.Members.Step(now) {
 		c.Node.Forget(now, mustardramp.RecordHost, key)
 	}
+	hosts := c.Members.Peers(now)
+	if !c.Node.Ready() {
+		// The peers of a small or unevenly spread fleet may be too few.
+		hosts = union(hosts, c.Members.Sources(now, readyPeers))
+	}
 	var peers []Peer
-	for _, h := range c.Members.Peers(now) {
+	for _, h := range hosts {
 		peers = append(peers, Peer{
 			Name: h.Name, Address: h.Address, Place: h.Place,
 			Control: h.Role == membership.Control,
@@ -78,6 +84,17 @@
 	return peers
 }
 
+// union returns the hosts of both lists, each once.
+func union(a, b []membership.Host) []membership.Host {
+	out := slices.Clone(a)
+	for _, h := range b {
+		if !slices.ContainsFunc(a, func(other membership.Host) bool { return other.Name == h.Name }) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // seedPeers stand in for peers; each bears its address as its name.
 func (c *Core) seedPeers() []Peer {
 	var peers []Peer
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -212,3 +212,21 @@
 		m.Peers(start)
 	})
 }
+
+func TestSourcesReachOtherRegionsOnlyWhenTheOwnIsSmall(t *testing.T) {
+	cases := map[string]struct {
+		hosts, regions, want int
+	}{
+		"own region suffices": {hosts: 12, regions: 1, want: 3},
+		"small fleet":         {hosts: 3, regions: 3, want: 2},
+		"alone":               {hosts: 1, regions: 1, want: 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := view(t, 0, tc.hosts, tc.regions)
+			if got := len(m.Sources(start, 3)); got != tc.want {
+				t.Errorf("got %d hosts, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -49,6 +49,17 @@
 	return m.chosen
 }
 
+// Sources returns up to count hosts, of the own region where there are enough,
+// from which a started host may learn the present state.
+func (m *Members) Sources(now time.Time, count int) []Host {
+	picked := make(map[mustardramp.HostName]bool)
+	alive := m.alive(now)
+	region := alive.where(func(h *Host) bool { return h.Place.Region == m.self.Place.Region })
+	m.pickRandom(picked, region, count)
+	m.pickRandom(picked, alive, count-len(picked))
+	return m.hosts(picked)
+}
+
 // hosts returns the named hosts, sorted.
 func (m *Members) hosts(names map[mustardramp.HostName]bool) []Host {
 	var out []Host
