--- a/internal/ledger/client.go
+++ b/internal/ledger/client.go
@@ -33,7 +33,7 @@
 	host        mustardramp.HostName
 	incarnation mustardramp.Incarnation
 	homes       map[mustardramp.Region]*home
-	abandoned   chan abandonCommand
+	abandoned   chan Question
 }
 
 var _ mustardramp.Ledger = (*Client)(nil)
@@ -57,7 +57,7 @@
 		host:        host,
 		incarnation: incarnation,
 		homes:       map[mustardramp.Region]*home{},
-		abandoned:   make(chan abandonCommand, abandonLimit),
+		abandoned:   make(chan Question, abandonLimit),
 	}
 	for region, members := range homes {
 		c.homes[region] = &home{region: region, members: members, held: map[mustardramp.ClaimID]uint64{}}
@@ -81,27 +81,38 @@
 	if err != nil {
 		return mustardramp.ClaimReply{}, err
 	}
-	question := claimCommand{Claim: claim, Nonce: Nonce(rand.Uint64())}
-	reply, err := ask[mustardramp.ClaimReply](ctx, h, methodClaim, question)
-	if err != nil {
-		c.abandon(abandonCommand(question))
-		return mustardramp.ClaimReply{}, err
+	reply, err := c.question(ctx, h, claim)
+	for ctx.Err() == nil && errors.Is(err, FaultBurned) {
+		reply, err = c.question(ctx, h, claim)
 	}
-	if reply.State == mustardramp.ClaimGranted {
+	if err == nil && reply.State == mustardramp.ClaimGranted {
 		h.hold(claim.ID, reply.Attempt)
 	}
-	return reply, nil
+	return reply, err
+}
+
+// question asks under one nonce.
+func (c *Client) question(ctx context.Context, h *home, claim mustardramp.Claim) (mustardramp.ClaimReply, error) {
+	q := Question{Claim: claim, Nonce: Nonce(rand.Uint64())}
+	reply, err := ask[mustardramp.ClaimReply](ctx, h, methodClaim, func(sent int) Question {
+		q.Resent = sent > 0
+		return q
+	})
+	if err != nil && !isRefused(err) {
+		c.abandon(q)
+	}
+	return reply, err
 }
 
 // Settle implements mustardramp.Ledger. It may be repeated. A settlement that
-// the ledger refuses has been overtaken, by an operator's decision: there is
+// the ledger refuses has been overtaken, by an operator's Decision: there is
 // nothing left to record.
 func (c *Client) Settle(ctx context.Context, settlement mustardramp.Settlement) error {
 	h, err := c.home(settlement.Home)
 	if err != nil {
 		return err
 	}
-	_, err = ask[done](ctx, h, methodSettle, settleCommand{settlement})
+	_, err = ask[done](ctx, h, methodSettle, same(settlement))
 	if isRefused(err) {
 		klog.ErrorS(err, "settlement-refused", "service", settlement.ID.Service, "caller", settlement.ID.Caller,
 			"key", settlement.ID.Key, "outcome", settlement.Outcome.String())
@@ -117,7 +128,7 @@
 func (c *Client) Show(ctx context.Context, id mustardramp.ClaimID) (View, bool, error) {
 	var failed error
 	for _, h := range c.homes {
-		s, err := ask[sight](ctx, h, methodShow, id)
+		s, err := ask[sight](ctx, h, methodShow, same(id))
 		if err == nil && s.Found {
 			return s.View, true, nil
 		}
@@ -130,13 +141,13 @@
 func (c *Client) Decide(ctx context.Context, id mustardramp.ClaimID, outcome mustardramp.Outcome, who Who) (View, error) {
 	failed := Error.New("no ledger holds the key")
 	for _, h := range c.homes {
-		s, err := ask[sight](ctx, h, methodShow, id)
+		s, err := ask[sight](ctx, h, methodShow, same(id))
 		if err != nil {
 			failed = err
 			continue
 		}
 		if s.Found {
-			return ask[View](ctx, h, methodDecide, decision{id, outcome, who})
+			return ask[View](ctx, h, methodDecide, same(Decision{id, outcome, who}))
 		}
 	}
 	return View{}, failed
@@ -166,7 +177,7 @@
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, aliveEvery)
-		if _, err := ask[done](bounded, h, methodAlive, aliveCommand{c.host, c.incarnation}); err != nil {
+		if _, err := ask[done](bounded, h, methodAlive, same(Sign{c.host, c.incarnation})); err != nil {
 			klog.V(1).InfoS("ledger-not-reached", "region", h.region, "cause", err)
 		}
 		cancel()
@@ -175,7 +186,7 @@
 
 // abandon remembers a question to be abandoned. When too many wait, the claim
 // stays with this host until its lease ends, and is unknown from then on.
-func (c *Client) abandon(a abandonCommand) {
+func (c *Client) abandon(a Question) {
 	select {
 	case c.abandoned <- a:
 	default:
@@ -195,11 +206,11 @@
 }
 
 // persist repeats an abandonment until the ledger has it.
-func (c *Client) persist(ctx context.Context, a abandonCommand) {
+func (c *Client) persist(ctx context.Context, a Question) {
 	h := c.homes[a.Claim.Home]
 	for ctx.Err() == nil {
 		bounded, cancel := context.WithTimeout(ctx, aliveEvery)
-		_, err := ask[done](bounded, h, methodAbandon, a)
+		_, err := ask[done](bounded, h, methodAbandon, same(a))
 		cancel()
 		if err == nil || isRefused(err) {
 			return
@@ -229,20 +240,22 @@
 
 // isRefused reports whether the ledger itself answered with an error.
 func isRefused(err error) bool {
-	var f fault
+	var f Fault
 	return errors.As(err, &f)
 }
 
 // ask calls the members one after the other, the last to answer first, until
 // one answers or the context ends. What it asks may be repeated.
-func ask[Resp, Req any](ctx context.Context, h *home, name string, req Req) (Resp, error) {
+func ask[Resp, Req any](ctx context.Context, h *home, name string, request func(sent int) Req) (Resp, error) {
 	var none Resp
 	failed := Error.New("region %q has no control hosts", h.region)
+	sent := 0
 	for len(h.members) > 0 {
 		first := int(h.last.Load())
 		for i := range h.members {
 			n := (first + i) % len(h.members)
-			reply, err := askOne[answer[Resp]](ctx, h.members[n], method(h.region, name), req)
+			reply, err := askOne[answer[Resp]](ctx, h.members[n], method(h.region, name), request(sent))
+			sent++
 			if err == nil {
 				h.last.Store(int64(n))
 				return reply.value()
@@ -259,6 +272,11 @@
 	return none, failed
 }
 
+// same sends the same request each time.
+func same[Req any](req Req) func(int) Req {
+	return func(int) Req { return req }
+}
+
 func askOne[Resp, Req any](ctx context.Context, member link.Caller, name string, req Req) (Resp, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -18,102 +18,117 @@
 	Reason string `cbor:"2,keyasint"`
 }
 
-// command is one entry of the group's log. Exactly one of the pointers is set,
-// or none: then the command only tells the time.
-type command struct {
+// Command is one entry of the group's log. At most one of the pointers is set;
+// without any it only tells the time.
+type Command struct {
 	// Member and At are the control host that proposed and its time.
-	Member  mustardramp.HostName `cbor:"1,keyasint"`
-	At      Millis               `cbor:"2,keyasint"`
-	Claim   *claimCommand        `cbor:"3,keyasint,omitempty"`
-	Settle  *settleCommand       `cbor:"4,keyasint,omitempty"`
-	Abandon *abandonCommand      `cbor:"5,keyasint,omitempty"`
-	Alive   *aliveCommand        `cbor:"6,keyasint,omitempty"`
-	Decide  *decideCommand       `cbor:"7,keyasint,omitempty"`
+	Member mustardramp.HostName `cbor:"1,keyasint"`
+	At     Millis               `cbor:"2,keyasint"`
+	// Claim asks for a claim.
+	Claim *Question `cbor:"3,keyasint,omitempty"`
+	// Settle records what the holder of a claim knows.
+	Settle *mustardramp.Settlement `cbor:"4,keyasint,omitempty"`
+	// Abandon says that the asker gave a question up and dispatched nothing.
+	Abandon *Question `cbor:"5,keyasint,omitempty"`
+	Alive   *Sign     `cbor:"6,keyasint,omitempty"`
+	Decide  *Decision `cbor:"7,keyasint,omitempty"`
 }
 
-// claimCommand asks for a claim.
-type claimCommand struct {
-	Claim mustardramp.Claim `cbor:"1,keyasint"`
-	Nonce Nonce             `cbor:"2,keyasint"`
-}
-
-// settleCommand records what the holder of a claim knows.
-type settleCommand struct {
-	Settlement mustardramp.Settlement `cbor:"1,keyasint"`
+// Encode returns the command as State applies it.
+func (c *Command) Encode() ([]byte, error) {
+	return encode(c)
 }
 
-// abandonCommand says that the asker gave the question up and dispatched
-// nothing.
-type abandonCommand struct {
+// Question asks for a claim.
+type Question struct {
 	Claim mustardramp.Claim `cbor:"1,keyasint"`
 	Nonce Nonce             `cbor:"2,keyasint"`
+	// Resent is set in all copies but the first.
+	Resent bool `cbor:"3,keyasint,omitempty"`
 }
 
-// aliveCommand renews the lease of an entry host that holds claims.
-type aliveCommand struct {
+// Sign renews the lease of an entry host that holds claims.
+type Sign struct {
 	Host        mustardramp.HostName    `cbor:"1,keyasint"`
 	Incarnation mustardramp.Incarnation `cbor:"2,keyasint"`
 }
 
-// decideCommand settles an operation whose outcome is unknown.
-type decideCommand struct {
+// Decision settles an operation whose outcome is unknown, on an operator's
+// word.
+type Decision struct {
 	ID      mustardramp.ClaimID `cbor:"1,keyasint"`
 	Outcome mustardramp.Outcome `cbor:"2,keyasint"`
 	Who     Who                 `cbor:"3,keyasint"`
 }
 
-// fault says why a command had no effect.
-type fault uint8
+// Fault says why a command had no effect.
+type Fault uint8
 
+// The faults of commands.
 const (
-	faultNone fault = iota
-	// faultStale is a command of an earlier incarnation or attempt.
-	faultStale
-	// faultFull is a claim when the ledger holds no more entries.
-	faultFull
-	// faultRunning is a decision on an operation whose holder is alive.
-	faultRunning
-	// faultSettled is a decision on an operation with a known outcome.
-	faultSettled
-	// faultMissing is a decision on a key that the ledger does not hold.
-	faultMissing
+	FaultNone Fault = iota
+	// FaultStale is a command of an earlier incarnation or attempt.
+	FaultStale
+	// FaultFull is a claim when the ledger holds no more entries.
+	FaultFull
+	// FaultRunning is a decision on an operation whose holder is alive.
+	FaultRunning
+	// FaultSettled is a decision on an operation with a known outcome.
+	FaultSettled
+	// FaultBurned is a copy of a question that was answered or abandoned. No
+	// copy of it will be granted.
+	FaultBurned
+	// FaultMissing is a decision on a key that the ledger does not hold.
+	FaultMissing
 )
 
 var faultTexts = [...]string{
-	faultNone:    "",
-	faultStale:   "the command comes from an earlier incarnation or attempt",
-	faultFull:    "the ledger holds no more entries",
-	faultRunning: "the operation is still running on a host that is alive",
-	faultSettled: "the outcome of the operation is known already",
-	faultMissing: "the ledger does not hold the key",
+	FaultNone:    "",
+	FaultStale:   "the command comes from an earlier incarnation or attempt",
+	FaultFull:    "the ledger holds no more entries",
+	FaultRunning: "the operation is still running on a host that is alive",
+	FaultSettled: "the outcome of the operation is known already",
+	FaultBurned:  "the question was answered before",
+	FaultMissing: "the ledger does not hold the key",
 }
 
 // Error returns the fault's text.
-func (f fault) Error() string {
-	return faultTexts[f]
+func (f Fault) Error() string {
+	if int(f) < len(faultTexts) {
+		return faultTexts[f]
+	}
+	return "unknown fault"
+}
+
+// Result is what a command returns.
+type Result struct {
+	Fault Fault                  `cbor:"1,keyasint,omitempty"`
+	Reply mustardramp.ClaimReply `cbor:"2,keyasint"`
+	// View is set when the command was a decision on an entry.
+	View *View `cbor:"3,keyasint,omitempty"`
+}
+
+// DecodeResult reads what State.Apply returned.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	err := decode(data, &r)
+	return r, err
 }
 
 // answer carries a value, or the ledger's own fault, to a client. An error of
 // the call itself says that this member could not answer.
 type answer[T any] struct {
-	Fault fault `cbor:"1,keyasint,omitempty"`
+	Fault Fault `cbor:"1,keyasint,omitempty"`
 	Value T     `cbor:"2,keyasint"`
 }
 
 func (a answer[T]) value() (T, error) {
-	if a.Fault != faultNone {
+	if a.Fault != FaultNone {
 		return a.Value, Error.Wrap(a.Fault)
 	}
 	return a.Value, nil
 }
 
-// result is what a command returns.
-type result struct {
-	Fault fault                  `cbor:"1,keyasint,omitempty"`
-	Reply mustardramp.ClaimReply `cbor:"2,keyasint"`
-	View  *View                  `cbor:"3,keyasint,omitempty"`
-}
-
 func encode[T any](value T) ([]byte, error) {
 	return cbor.Marshal(value)
 }
--- a/internal/ledger/desk.go
+++ b/internal/ledger/desk.go
@@ -25,13 +25,6 @@
 	Clock mustardramp.Clock
 }
 
-// decision is what an operator says of an operation.
-type decision struct {
-	ID      mustardramp.ClaimID `cbor:"1,keyasint"`
-	Outcome mustardramp.Outcome `cbor:"2,keyasint"`
-	Who     Who                 `cbor:"3,keyasint"`
-}
-
 // sight is an entry, if there is one.
 type sight struct {
 	View  View `cbor:"1,keyasint"`
@@ -58,23 +51,23 @@
 // Serve answers the calls of Client.
 func (d *Desk) Serve(router *link.Router) {
 	handle(d, router, methodClaim, d.claim)
-	handle(d, router, methodSettle, func(ctx context.Context, c settleCommand) (done, error) {
-		_, err := d.propose(ctx, command{Settle: &c})
+	handle(d, router, methodSettle, func(ctx context.Context, m mustardramp.Settlement) (done, error) {
+		_, err := d.propose(ctx, Command{Settle: &m})
 		return done{}, err
 	})
-	handle(d, router, methodAbandon, func(ctx context.Context, c abandonCommand) (done, error) {
-		_, err := d.propose(ctx, command{Abandon: &c})
+	handle(d, router, methodAbandon, func(ctx context.Context, c Question) (done, error) {
+		_, err := d.propose(ctx, Command{Abandon: &c})
 		return done{}, err
 	})
-	handle(d, router, methodAlive, func(ctx context.Context, c aliveCommand) (done, error) {
-		_, err := d.propose(ctx, command{Alive: &c})
+	handle(d, router, methodAlive, func(ctx context.Context, c Sign) (done, error) {
+		_, err := d.propose(ctx, Command{Alive: &c})
 		return done{}, err
 	})
 	handle(d, router, methodShow, func(ctx context.Context, id mustardramp.ClaimID) (sight, error) {
 		view, found, err := d.Show(ctx, id)
 		return sight{view, found}, err
 	})
-	handle(d, router, methodDecide, func(ctx context.Context, c decision) (View, error) {
+	handle(d, router, methodDecide, func(ctx context.Context, c Decision) (View, error) {
 		return d.Decide(ctx, c.ID, c.Outcome, c.Who)
 	})
 }
@@ -84,7 +77,7 @@
 func handle[Req, Resp any](d *Desk, router *link.Router, name string, fn func(context.Context, Req) (Resp, error)) {
 	link.Handle(router, method(d.Region, name), func(ctx context.Context, req Req) (answer[Resp], error) {
 		value, err := fn(ctx, req)
-		var f fault
+		var f Fault
 		if errors.As(err, &f) {
 			return answer[Resp]{Fault: f}, nil
 		}
@@ -107,7 +100,7 @@
 			continue
 		}
 		bounded, cancel := context.WithTimeout(ctx, tellEvery)
-		if _, err := d.propose(bounded, command{}); err != nil {
+		if _, err := d.propose(bounded, Command{}); err != nil {
 			klog.V(1).InfoS("ledger-time-not-told", "region", d.Region, "cause", err)
 		}
 		cancel()
@@ -115,9 +108,10 @@
 }
 
 // claim answers a question for a claim. What changes nothing is answered from
-// the state, once a quorum has confirmed that it is up to date.
-func (d *Desk) claim(ctx context.Context, c claimCommand) (mustardramp.ClaimReply, error) {
-	if _, ok := d.State.peek(&c); ok {
+// the state, once a quorum has confirmed that it is up to date; but a question
+// of which another copy may be under way goes through the log.
+func (d *Desk) claim(ctx context.Context, c Question) (mustardramp.ClaimReply, error) {
+	if _, ok := d.State.peek(&c); ok && !c.Resent {
 		if err := d.Log.Confirm(ctx); err != nil {
 			return mustardramp.ClaimReply{}, err
 		}
@@ -125,7 +119,7 @@
 			return reply, nil
 		}
 	}
-	r, err := d.propose(ctx, command{Claim: &c})
+	r, err := d.propose(ctx, Command{Claim: &c})
 	return r.Reply, err
 }
 
@@ -140,7 +134,7 @@
 
 // Decide settles an operation whose outcome is unknown, on an operator's word.
 func (d *Desk) Decide(ctx context.Context, id mustardramp.ClaimID, outcome mustardramp.Outcome, who Who) (View, error) {
-	r, err := d.propose(ctx, command{Decide: &decideCommand{ID: id, Outcome: outcome, Who: who}})
+	r, err := d.propose(ctx, Command{Decide: &Decision{ID: id, Outcome: outcome, Who: who}})
 	klog.InfoS("ledger-decided", "region", d.Region, "service", id.Service, "caller", id.Caller, "key", id.Key,
 		"outcome", outcome.String(), "who", who.Name, "why", who.Reason, "accepted", err == nil)
 	if err != nil {
@@ -149,22 +143,22 @@
 	return *r.View, nil
 }
 
-func (d *Desk) propose(ctx context.Context, c command) (result, error) {
+func (d *Desk) propose(ctx context.Context, c Command) (Result, error) {
 	c.Member = d.Member
 	c.At = Millis(d.clock().Now().UnixMilli())
-	encoded, err := encode(c)
+	encoded, err := c.Encode()
 	if err != nil {
-		return result{}, Error.Wrap(err)
+		return Result{}, Error.Wrap(err)
 	}
 	reply, err := d.Log.Propose(ctx, encoded)
 	if err != nil {
-		return result{}, err
+		return Result{}, err
 	}
-	var r result
-	if err := decode(reply, &r); err != nil {
-		return result{}, Error.Wrap(err)
+	r, err := DecodeResult(reply)
+	if err != nil {
+		return Result{}, Error.Wrap(err)
 	}
-	if r.Fault != faultNone {
+	if r.Fault != FaultNone {
 		return r, Error.Wrap(r.Fault)
 	}
 	return r, nil
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -36,8 +36,8 @@
 // defaultKeep is for how long a key without a span of its own is kept.
 const defaultKeep = 24 * time.Hour
 
-// burnedLimit bounds the abandoned questions that an entry remembers.
-const burnedLimit = 32
+// burnedLimit bounds the burned questions that an entry remembers.
+const burnedLimit = 64
 
 // entry is the record of one operation.
 type entry struct {
@@ -55,7 +55,8 @@
 	Keep    Millis              `cbor:"9,keyasint"`
 	// Changed is the ledger's time of the last change.
 	Changed Millis `cbor:"10,keyasint"`
-	// Burned lists abandoned questions, which are never granted.
+	// Burned lists questions that were abandoned, or answered otherwise than
+	// with a grant. No copy of them is ever granted.
 	Burned []Nonce `cbor:"11,keyasint,omitempty"`
 	// Decided is who settled the operation in place of its holder.
 	Decided *Who `cbor:"12,keyasint,omitempty"`
@@ -74,6 +75,11 @@
 	return e.Host == host && e.Incarnation == incarnation
 }
 
+// isAskedBy reports whether a question is the one that was granted.
+func (e *entry) isAskedBy(q *Question) bool {
+	return e.isHeldBy(q.Claim.Host, q.Claim.Incarnation) && e.Nonce == q.Nonce
+}
+
 // isOpen reports whether the holder's word still counts.
 func (e *entry) isOpen() bool {
 	return e.State == Claimed || e.State == Unknown
@@ -90,7 +96,7 @@
 }
 
 // grant gives the claim to a question.
-func (e *entry) grant(c *claimCommand) {
+func (e *entry) grant(c *Question) {
 	e.State = Claimed
 	e.Host = c.Claim.Host
 	e.Incarnation = c.Claim.Incarnation
@@ -110,8 +116,10 @@
 	}
 }
 
-// settle takes over an outcome.
+// settle takes over an outcome. A copy of the question may still be under way:
+// it is not to be answered any more.
 func (e *entry) settle(outcome mustardramp.Outcome, answer *mustardramp.Answer) {
+	e.burn(e.Nonce)
 	switch outcome {
 	case mustardramp.Ran:
 		e.State = Settled
@@ -121,20 +129,18 @@
 		}
 	case mustardramp.NotRun:
 		e.State = Free
-		// A copy of the question may still be under way.
-		e.burn(e.Nonce)
 	default:
 		e.State = Unknown
 	}
 }
 
 // repeated says whether a settlement is a copy of the one that was recorded.
-func (e *entry) repeated(outcome mustardramp.Outcome) fault {
+func (e *entry) repeated(outcome mustardramp.Outcome) Fault {
 	wasRun := e.State == Settled
 	if e.Decided != nil || wasRun != (outcome == mustardramp.Ran) {
-		return faultStale
+		return FaultStale
 	}
-	return faultNone
+	return FaultNone
 }
 
 // View is an entry as operators see it.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -42,6 +42,10 @@
 	clocks map[mustardramp.HostName]Millis
 	// now is the ledger's time. It never goes back.
 	now Millis
+	// told is the time that the present command tells, at least now and at
+	// most a lease ahead of it: leases start from it, so that they do not end
+	// early when now catches up.
+	told Millis
 	// swept is the time of the last sweep of holders.
 	swept    Millis
 	expiries expiries
@@ -55,7 +59,7 @@
 func (s *State) Apply(_ mustardramp.Index, encoded []byte) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var c command
+	var c Command
 	if err := decode(encoded, &c); err != nil {
 		return nil
 	}
@@ -68,12 +72,12 @@
 	return encodedResult
 }
 
-func (s *State) apply(c *command) result {
+func (s *State) apply(c *Command) Result {
 	switch {
 	case c.Claim != nil:
 		return s.claim(c.Claim)
 	case c.Settle != nil:
-		return s.settle(&c.Settle.Settlement)
+		return s.settle(c.Settle)
 	case c.Abandon != nil:
 		return s.abandon(c.Abandon)
 	case c.Alive != nil:
@@ -81,7 +85,7 @@
 	case c.Decide != nil:
 		return s.decide(c.Decide)
 	default:
-		return result{}
+		return Result{}
 	}
 }
 
@@ -98,6 +102,7 @@
 	}
 	slices.Sort(times)
 	s.now = max(s.now, times[(len(times)-1)/2])
+	s.told = min(max(at, s.now), s.now+Millis(HostLease.Milliseconds()))
 }
 
 // hear notes a sign of life of an entry host. It reports false when the host
@@ -110,7 +115,7 @@
 	if incarnation < known.Incarnation {
 		return false
 	}
-	s.holders[host] = holder{Incarnation: incarnation, Heard: s.now}
+	s.holders[host] = holder{Incarnation: incarnation, Heard: s.told}
 	return true
 }
 
@@ -120,37 +125,48 @@
 	return known.Incarnation == e.Incarnation && s.now-known.Heard <= Millis(HostLease.Milliseconds())
 }
 
-func (s *State) claim(c *claimCommand) result {
+func (s *State) claim(c *Question) Result {
 	if !s.hear(c.Claim.Host, c.Claim.Incarnation) {
-		return result{Fault: faultStale}
+		return Result{Fault: FaultStale}
 	}
 	e := s.entries[c.Claim.ID]
 	if e == nil {
 		if s.isFull() {
-			return result{Fault: faultFull}
+			return Result{Fault: FaultFull}
 		}
 		e = s.add(c.Claim)
 	}
 	if e.Digest != c.Claim.Digest {
-		return result{Reply: mustardramp.ClaimReply{State: mustardramp.ClaimMismatch}}
+		return Result{Reply: mustardramp.ClaimReply{State: mustardramp.ClaimMismatch}}
 	}
-	if slices.Contains(e.Burned, c.Nonce) {
-		return result{Fault: faultStale}
-	}
-	if e.State == Free {
+	burned := slices.Contains(e.Burned, c.Nonce)
+	switch {
+	case e.State == Free && burned:
+		return Result{Fault: FaultBurned}
+	case e.State == Free:
 		e.grant(c)
 		s.touch(e)
+	case e.State == Unknown && e.isAskedBy(c) && !burned:
+		// The holder was given up too early: it is still asking, so that it
+		// has dispatched nothing.
+		e.State = Claimed
+		s.touch(e)
 	}
-	return result{Reply: s.reply(e, c)}
+	reply := s.reply(e, c)
+	if reply.State != mustardramp.ClaimGranted {
+		// The asker takes this for the answer: a copy that comes later must
+		// not be granted to nobody.
+		e.burn(c.Nonce)
+	}
+	return Result{Reply: reply}
 }
 
 // reply answers a question about an entry that is not free.
-func (s *State) reply(e *entry, c *claimCommand) mustardramp.ClaimReply {
-	isAsker := e.isHeldBy(c.Claim.Host, c.Claim.Incarnation) && e.Nonce == c.Nonce
+func (s *State) reply(e *entry, c *Question) mustardramp.ClaimReply {
 	switch {
 	case e.State == Settled:
 		return mustardramp.ClaimReply{State: mustardramp.ClaimRan, Attempt: e.Attempt, Answer: e.Answer}
-	case e.State == Claimed && isAsker:
+	case e.State == Claimed && e.isAskedBy(c):
 		return mustardramp.ClaimReply{State: mustardramp.ClaimGranted, Attempt: e.Attempt}
 	case e.State == Claimed && s.isAlive(e):
 		return mustardramp.ClaimReply{State: mustardramp.ClaimRunning, Attempt: e.Attempt}
@@ -181,27 +197,31 @@
 
 // settle takes the word of the holder of a claim. It counts for the last
 // attempt only, and also after the holder was given up: it alone knows.
-func (s *State) settle(m *mustardramp.Settlement) result {
+func (s *State) settle(m *mustardramp.Settlement) Result {
 	s.hear(m.Host, m.Incarnation)
 	e := s.entries[m.ID]
+	if e != nil && e.Attempt > m.Attempt && m.Outcome == mustardramp.NotRun {
+		// Another attempt was granted because this one had not run.
+		return Result{}
+	}
 	if e == nil || !e.isHeldBy(m.Host, m.Incarnation) || e.Attempt != m.Attempt {
-		return result{Fault: faultStale}
+		return Result{Fault: FaultStale}
 	}
 	if !e.isOpen() {
-		return result{Fault: e.repeated(m.Outcome)}
+		return Result{Fault: e.repeated(m.Outcome)}
 	}
 	e.settle(m.Outcome, m.Answer)
 	s.touch(e)
-	return result{}
+	return Result{}
 }
 
 // abandon frees what a question was granted, now or later: its asker has
 // dispatched nothing and will not.
-func (s *State) abandon(a *abandonCommand) result {
+func (s *State) abandon(a *Question) Result {
 	e := s.entries[a.Claim.ID]
 	if e == nil {
 		if s.isFull() {
-			return result{Fault: faultFull}
+			return Result{Fault: FaultFull}
 		}
 		e = s.add(a.Claim)
 	}
@@ -210,36 +230,36 @@
 		e.settle(mustardramp.NotRun, nil)
 	}
 	s.touch(e)
-	return result{}
+	return Result{}
 }
 
-func (s *State) alive(a *aliveCommand) result {
+func (s *State) alive(a *Sign) Result {
 	if !s.hear(a.Host, a.Incarnation) {
-		return result{Fault: faultStale}
+		return Result{Fault: FaultStale}
 	}
-	return result{}
+	return Result{}
 }
 
 // decide takes an operator's word on an operation whose holder is gone.
-func (s *State) decide(d *decideCommand) result {
+func (s *State) decide(d *Decision) Result {
 	e := s.entries[d.ID]
 	if e == nil {
-		return result{Fault: faultMissing}
+		return Result{Fault: FaultMissing}
 	}
 	if e.Decided != nil && *e.Decided == d.Who {
-		return result{View: e.view()}
+		return Result{View: e.view()}
 	}
 	if e.State == Claimed && s.isAlive(e) {
-		return result{Fault: faultRunning, View: e.view()}
+		return Result{Fault: FaultRunning, View: e.view()}
 	}
 	if !e.isOpen() {
-		return result{Fault: faultSettled, View: e.view()}
+		return Result{Fault: FaultSettled, View: e.view()}
 	}
 	who := d.Who
 	e.settle(d.Outcome, nil)
 	e.Decided = &who
 	s.touch(e)
-	return result{View: e.view()}
+	return Result{View: e.view()}
 }
 
 // Show returns an operation's entry.
@@ -259,7 +279,7 @@
 
 // peek answers a question that would change nothing: the operation ran, or is
 // claimed by another question of a host that is alive.
-func (s *State) peek(c *claimCommand) (mustardramp.ClaimReply, bool) {
+func (s *State) peek(c *Question) (mustardramp.ClaimReply, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	e := s.entries[c.Claim.ID]
