Let operators set the time that a body may stand still

Cause: the bound of 60 s on a body that does not move could not be set, and no test showed what it does. Change: a field of the handler's settings; a test of a caller that stalls while its body is held, one that stalls in a stream, and a backend that stalls in its answer. Conclusion: each side is let go with a true verdict (TestStalledBodies).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -46,7 +46,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	// due ends the attempt: at the deadline until the answer begins, and after
-	// stallTimeout without a byte from then on.
+	// the stall time without a byte from then on.
 	due *time.Timer
 	// begun is true once the answer has begun.
 	begun atomic.Bool
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -26,8 +26,8 @@
 	DefaultMemory mustardramp.Bytes = 64 << 20
 )
 
-// stallTimeout is the longest time without a byte in a body, either way.
-const stallTimeout = 60 * time.Second
+// DefaultStall is the longest time without a byte in a body.
+const DefaultStall = 60 * time.Second
 
 // errUpload is the class of errors for a caller that did not send its body.
 var errUpload = errs.Class("upload")
@@ -58,6 +58,7 @@
 type upload struct {
 	source  io.ReadCloser
 	control *http.ResponseController
+	stall   time.Duration
 	used    atomic.Bool
 	// failed is true once the caller did not deliver what it announced.
 	failed atomic.Bool
@@ -68,7 +69,7 @@
 // Read reads from the caller, and fails when it stalls.
 func (u *upload) Read(p []byte) (int, error) {
 	u.used.Store(true)
-	_ = u.control.SetReadDeadline(time.Now().Add(stallTimeout))
+	_ = u.control.SetReadDeadline(time.Now().Add(u.stall))
 	n, err := u.source.Read(p)
 	if err == nil {
 		return n, nil
@@ -94,7 +95,7 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	stream := &upload{source: x.r.Body, control: x.control()}
+	stream := &upload{source: x.r.Body, control: x.control(), stall: x.h.config.Stall}
 	length := x.r.ContentLength
 	if x.key == "" && (length < 0 || length > ReplayLimit) {
 		x.streamBody(stream)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -82,6 +82,9 @@
 	CallerHeader string
 	// Dial may be nil: then backends are dialed over TCP.
 	Dial DialFunc
+	// Stall is the longest time without a byte in a body, either way, on either
+	// side; zero stands for DefaultStall.
+	Stall time.Duration
 	// Memory bounds the bytes of request bodies held at one time; zero stands
 	// for DefaultMemory.
 	Memory mustardramp.Bytes
@@ -124,6 +127,9 @@
 	if config.Refusals == nil {
 		config.Refusals = &refusal.Memory{}
 	}
+	if config.Stall <= 0 {
+		config.Stall = DefaultStall
+	}
 	if config.Memory <= 0 {
 		config.Memory = DefaultMemory
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -262,7 +262,7 @@
 }
 
 func (x *exchange) extendWrite() {
-	_ = x.control().SetWriteDeadline(time.Now().Add(stallTimeout))
+	_ = x.control().SetWriteDeadline(time.Now().Add(x.h.config.Stall))
 }
 
 func (x *exchange) write(p []byte) (int, error) {
@@ -303,7 +303,7 @@
 }
 
 func (b *inflow) read(p []byte) (int, error) {
-	b.a.due.Reset(stallTimeout)
+	b.a.due.Reset(b.a.x.h.config.Stall)
 	n, err := b.response.Body.Read(p)
 	// The time that a slow caller takes is not the backend's.
 	b.a.due.Stop()
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -10,9 +10,11 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -170,7 +172,7 @@
 			r, _ := http.NewRequestWithContext(ctx, "PUT", f.server.URL+"/uploads/a", strings.NewReader(strings.Repeat("x", 1<<20)))
 			r.Host = "mohor.example"
 			r.Header.Set("Expect", "100-continue")
-			transport := &http.Transport{ExpectContinueTimeout: stallTimeout}
+			transport := &http.Transport{ExpectContinueTimeout: DefaultStall}
 			defer transport.CloseIdleConnections()
 			response, err := transport.RoundTrip(r)
 			if err != nil {
@@ -281,3 +283,48 @@
 		t.Errorf("refusal: got %v %v, want caller-gone, may have run", r.Kind, r.Verdict)
 	}
 }
+
+// TestStalledBodies checks that a side which stands still does not hold the
+// other one, and that the verdict stays true.
+func TestStalledBodies(t *testing.T) {
+	release := make(chan struct{})
+	backend := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, "begun")
+			_ = http.NewResponseController(w).Flush()
+			<-release
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	// The backend's own cleanup waits for its handlers.
+	t.Cleanup(func() { close(release) })
+	tests := map[string]struct {
+		request string
+		kind    mustardramp.RefusalKind
+		verdict mustardramp.Verdict
+		result  []mustardramp.Result
+	}{
+		"held upload":     {"POST /stamps HTTP/1.1\r\nContent-Length: 9\r\n", mustardramp.KindCallerGone, mustardramp.Not(), nil},
+		"streamed upload": {"PUT /uploads/a HTTP/1.1\r\nContent-Length: 100000\r\n", mustardramp.KindCallerGone, mustardramp.Maybe(), []mustardramp.Result{mustardramp.ResultAbandoned}},
+		"answer":          {"GET /plain/a HTTP/1.1\r\n", mustardramp.KindCut, mustardramp.Done(), []mustardramp.Result{mustardramp.ResultTimeout}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, backend)
+			f.handler.config.Stall = 30 * time.Millisecond
+			conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, test.request+"Host: mohor.example\r\nX-Request-Id: r-1\r\n\r\nx")
+			eventually(t, "the refusal", func() bool { return len(f.handler.Refusals().ByRequest("r-1")) == 1 })
+			if r := f.handler.Refusals().ByRequest("r-1")[0]; r.Kind != test.kind || r.Verdict != test.verdict {
+				t.Errorf("refusal: got %v, %s, want %v, %s", r.Kind, verdictText(r.Verdict), test.kind, verdictText(test.verdict))
+			}
+			if got := f.pool.seen(); !slices.Equal(got, test.result) {
+				t.Errorf("results: got %v, want %v", got, test.result)
+			}
+		})
+	}
+}
