--- a/script/load/loop.go
+++ b/script/load/loop.go
@@ -72,16 +72,19 @@
 }
 
 func printLatencies(direct, through *sample) {
-	for name, s := range map[string]*sample{"direct": direct, "through": through} {
-		fmt.Printf("open-loop way=%s calls=%d failed=%d p50=%dus p99=%dus max=%dus\n", name, s.hist.TotalCount(), s.failed.Load(),
-			s.hist.ValueAtQuantile(50), s.hist.ValueAtQuantile(99), s.hist.Max())
-	}
+	printSample("direct", direct)
+	printSample("through", through)
 	for _, q := range []float64{50, 99} {
 		d, t := direct.hist.ValueAtQuantile(q), through.hist.ValueAtQuantile(q)
 		fmt.Printf("open-loop added p%g=%dus ratio=%.2f\n", q, t-d, float64(t)/float64(max(d, 1)))
 	}
 }
 
+func printSample(way string, s *sample) {
+	fmt.Printf("open-loop way=%s calls=%d failed=%d p50=%dus p99=%dus max=%dus\n", way, s.hist.TotalCount(), s.failed.Load(),
+		s.hist.ValueAtQuantile(50), s.hist.ValueAtQuantile(99), s.hist.Max())
+}
+
 // closedLoop keeps all callers busy, in turns on each way, and reads the CPU
 // time of the entry host meanwhile.
 func closedLoop(ctx context.Context, s *settings, direct, through *target) error {
