Derive the thresholds more sharply from the accepted rate

Change: a false alarm needs a bad outcome to start and overshoots, so less than the plain bound suffices; the main test gets 80 % of the accepted rate.

--- a/internal/ejection/cusum.go
+++ b/internal/ejection/cusum.go
@@ -17,7 +17,7 @@
 	// mainPart is the part of the accepted rate of false ejections that the
 	// main test, of failures over the whole fleet, may use. The others share
 	// the rest.
-	mainPart  = 0.5
+	mainPart  = 0.8
 	otherPart = (1 - mainPart) / float64(tests-1)
 	// tick is the span over which the growth of a test is bounded.
 	tick = 100 * time.Millisecond
@@ -78,6 +78,15 @@
 	return bad*math.Log(h.ill/h.healthy) + (n-bad)*math.Log((1-h.ill)/(1-h.healthy))
 }
 
+// credit is by how much less than the threshold suffices. An excursion of the
+// sum starts with a bad outcome, so at most the ill share of exp(-threshold)
+// outcomes end in a false alarm; and the last step overshoots by an even share
+// of its size.
+func (h hypothesis) credit() float64 {
+	step := math.Log(h.ill / h.healthy)
+	return math.Log(h.ill * (1 - math.Exp(-step)) / step)
+}
+
 // cusum is Page's cumulative sum test of one backend. Its mean time to a false
 // alarm is at least exp(threshold) outcomes.
 type cusum struct {
@@ -118,10 +127,11 @@
 	}
 }
 
-// of returns the threshold of one test.
-func (t thresholds) of(sc scope, k kind) float64 {
+// of returns the threshold of one test at a level of the peers.
+func (t thresholds) of(sc scope, k kind, peers float64) float64 {
+	credit := against(k, peers).credit()
 	if sc == fleetScope && k == failing {
-		return t.main
+		return t.main + credit
 	}
-	return t.other
+	return t.other + credit
 }
--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -55,6 +55,8 @@
 	services map[mustardramp.ServiceName]*service
 	members  map[mustardramp.BackendID]*member
 	sequence uint64
+	// reported is when the last report was due.
+	reported time.Time
 }
 
 var (
--- a/internal/ejection/floor_test.go
+++ b/internal/ejection/floor_test.go
@@ -318,3 +318,41 @@
 	to := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "to")
 	f.late[from][to] = !f.late[from][to]
 }
+
+// Hosts that see different backends fail from the same moment on eject no more
+// between them than the floor spares.
+func TestEjectionsAtTheSameMoment(t *testing.T) {
+	tests := map[string]struct {
+		hosts int
+		floor mustardramp.Percent
+	}{
+		"2 hosts, room for 1": {2, 80},
+		"3 hosts, room for 1": {3, 80},
+		"4 hosts, room for 1": {4, 80},
+		"4 hosts, room for 2": {4, 75},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			terms := ejection.Terms{Floor: test.floor, Caution: 0.1}
+			f := newFloors(test.hosts, 1, []mustardramp.Slots{6}, 9, terms)
+			for range 30 {
+				f.tick(t)
+			}
+			list := backends(9, 6)
+			for i := range f.ill {
+				f.ill[i][list[i].ID] = 10
+			}
+			var ejected bool
+			for range 30 {
+				f.tick(t)
+				if err := f.check(); err != nil {
+					t.Fatal(err)
+				}
+				ejected = ejected || f.capacity(0).left < f.capacity(0).serving
+			}
+			if !ejected {
+				t.Errorf("got no ejection, want one")
+			}
+		})
+	}
+}
--- a/internal/ejection/service.go
+++ b/internal/ejection/service.go
@@ -27,6 +27,9 @@
 	// level holds the recent outcomes of the service by scope.
 	level [scopeCount]windows
 
+	// told sums up what was passed on without delay.
+	told digest
+
 	levels  levels
 	samples []sample
 	priors  []float64
