Test simultaneous ejections with slow reports

Cause: leaving out the wait of two spreads was caught by no test. Change: reports may take many ticks; hosts that see different backends fail from the same moment on keep the floor between them then too.

--- a/internal/ejection/floor_test.go
+++ b/internal/ejection/floor_test.go
@@ -30,9 +30,10 @@
 	// late[i][j] is true while reports of host i reach host j a tick later
 	// than others do.
 	late [][]bool
-	// mail holds the reports of the last tick, and older those before.
-	mail  []mustardramp.Record
-	older []mustardramp.Record
+	// sent holds the reports of all hosts by tick; they arrive delay ticks
+	// later.
+	sent  [][]mustardramp.Record
+	delay int
 	// calm is the number of ticks since the last change of a roster or a
 	// partition.
 	calm int
@@ -41,7 +42,7 @@
 }
 
 func newFloors(hosts, places int, sizes []mustardramp.Slots, n int, terms ejection.Terms) *floors {
-	f := &floors{now: start, terms: terms}
+	f := &floors{now: start, terms: terms, delay: 1}
 	list := backends(n, 6)
 	for i := range list {
 		list[i].Slots = sizes[i%len(sizes)]
@@ -64,11 +65,10 @@
 func (f *floors) tick(t interface{ Fatal(...any) }) {
 	f.now = f.now.Add(tick)
 	f.calm++
-	for from := range f.mail {
+	for from := range f.hosts {
 		f.deliver(t, from)
 	}
-	f.older = f.mail
-	f.mail = nil
+	var reports []mustardramp.Record
 	for i, host := range f.hosts {
 		f.work(i, host)
 		f.last[i] = host.Step(f.now, mohor, f.views[i])
@@ -78,20 +78,21 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.mail = append(f.mail, record)
+		reports = append(reports, record)
 	}
+	f.sent = append(f.sent, reports)
 }
 
 func (f *floors) deliver(t interface{ Fatal(...any) }, from int) {
 	for to, host := range f.hosts {
-		mail := f.mail
+		at := len(f.sent) - f.delay
 		if f.late[from][to] {
-			mail = f.older
+			at--
 		}
-		if f.cut[from][to] || mail == nil {
+		if f.cut[from][to] || at < 0 {
 			continue
 		}
-		if err := host.Merge(f.now, mail[from]); err != nil {
+		if err := host.Merge(f.now, f.sent[at][from]); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -275,7 +276,7 @@
 		case "together":
 			f.failTogether(t)
 		case "late":
-			f.delay(t)
+			f.holdUp(t)
 		case "depart":
 			f.depart(t)
 		case "change":
@@ -313,7 +314,7 @@
 	}
 }
 
-func (f *floors) delay(t *rapid.T) {
+func (f *floors) holdUp(t *rapid.T) {
 	from := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "from")
 	to := rapid.IntRange(0, len(f.hosts)-1).Draw(t, "to")
 	f.late[from][to] = !f.late[from][to]
@@ -325,16 +326,24 @@
 	tests := map[string]struct {
 		hosts int
 		floor mustardramp.Percent
+		// delay is the time that reports take, in ticks.
+		delay int
 	}{
-		"2 hosts, room for 1": {2, 80},
-		"3 hosts, room for 1": {3, 80},
-		"4 hosts, room for 1": {4, 80},
-		"4 hosts, room for 2": {4, 75},
+		"2 hosts, room for 1":        {2, 80, 1},
+		"3 hosts, room for 1":        {3, 80, 1},
+		"4 hosts, room for 1":        {4, 80, 2},
+		"4 hosts, room for 2":        {4, 75, 2},
+		"2 hosts, slow reports":      {2, 80, 10},
+		"4 hosts, very slow reports": {4, 75, 20},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			terms := ejection.Terms{Floor: test.floor, Caution: 0.1}
 			f := newFloors(test.hosts, 1, []mustardramp.Slots{6}, 9, terms)
+			f.delay = test.delay
+			for _, host := range f.hosts {
+				host.Spread = time.Duration(test.delay) * tick
+			}
 			for range 30 {
 				f.tick(t)
 			}
@@ -343,7 +352,7 @@
 				f.ill[i][list[i].ID] = 10
 			}
 			var ejected bool
-			for range 30 {
+			for range 90 {
 				f.tick(t)
 				if err := f.check(); err != nil {
 					t.Fatal(err)
