--- a/internal/ejection/judge.go
+++ b/internal/ejection/judge.go
@@ -21,6 +21,9 @@
 	// baseline is the share of bad outcomes that stands in for a service
 	// without outcomes.
 	baseline = 0.01
+	// idle is the weight of recent outcomes below which a service is not
+	// judged.
+	idle = 1e-3
 	// otherOutcomes is the fewest outcomes of other zones that can show that a
 	// fault is one of the path.
 	otherOutcomes = 4
@@ -28,6 +31,9 @@
 
 // judge runs the tests of all members on the outcomes of the step.
 func (s *service) judge(now time.Time, terms Terms) {
+	if s.level[fleetScope].steady.n < idle {
+		return
+	}
 	limits := s.limits(terms)
 	trim := s.trim(terms)
 	for scope := range scopeCount {
