Report evidence when it is due, and measure the bytes of detection

Cause: reports went out twice a second whether or not there was news. Change: hosts ask the ejector when a report is due; the benchmark counts the requests that still reach the ill backend and the bytes of the exchange.

--- a/internal/fleet/detection_bench_test.go
+++ b/internal/fleet/detection_bench_test.go
@@ -117,6 +117,8 @@
 	}
 	good.Store(0)
 	bad.Store(0)
+	before := total(ill.Runs())
+	sent := sentBytes(f)
 	ill.Fail(fault)
 	began := time.Now()
 	half, all := detectionLimit, detectionLimit
@@ -131,6 +133,10 @@
 		}
 		time.Sleep(standingPause)
 	}
+	took := time.Since(began)
+	b.ReportMetric(float64(total(ill.Runs())-before), "requests-to-the-ill")
+	b.ReportMetric(float64(good.Load()+bad.Load())/took.Seconds(), "answers/s")
+	b.ReportMetric(float64(sentBytes(f)-sent)/took.Seconds()/float64(len(f.Entry)), "bytes/s/host")
 	cancel()
 	_ = group.Wait()
 	b.ReportMetric(half.Seconds(), "s-half-of-hosts")
@@ -138,3 +144,20 @@
 	b.ReportMetric(float64(bad.Load()), "bad-answers")
 	b.ReportMetric(float64(healthy), "standings-not-usable-before")
 }
+
+func total(runs map[string]int) int {
+	n := 0
+	for _, r := range runs {
+		n += r
+	}
+	return n
+}
+
+// sentBytes sums what all entry hosts sent to their peers.
+func sentBytes(f *fleet.Fleet) mustardramp.Bytes {
+	var n mustardramp.Bytes
+	for _, e := range f.Entry {
+		n += e.Sent()
+	}
+	return n
+}
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -37,8 +37,6 @@
 const (
 	// stepPause is the time between two decisions on the backends' standings.
 	stepPause = 100 * time.Millisecond
-	// reportPause is the time between two reports of evidence.
-	reportPause = 500 * time.Millisecond
 )
 
 // EntryConfig are the settings of an entry host, checked.
@@ -249,6 +247,15 @@
 	return nil
 }
 
+// Sent counts the bytes that the host sent to its peers in the exchange.
+func (e *Entry) Sent() mustardramp.Bytes {
+	var n mustardramp.Bytes
+	for _, u := range e.exchange.Usage() {
+		n += u.Sent
+	}
+	return n
+}
+
 // Hosts counts the other hosts that this one knows.
 func (e *Entry) Hosts() int {
 	return e.links.count()
@@ -276,7 +283,6 @@
 	group.Go(func() error { return e.exchange.Run(inner) })
 	group.Go(func() error { return e.ledger.Run(inner) })
 	group.Go(func() error { return every(inner, stepPause, e.step) })
-	group.Go(func() error { return every(inner, reportPause, e.report) })
 	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
 	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
 	group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
@@ -336,6 +342,7 @@
 	for name, r := range e.services.all() {
 		r.update(e.ejector.Step(now, name, e.roster.View(name)))
 	}
+	e.report()
 }
 
 func (e *Entry) liveEntryHosts(members []membership.Member) []lease.Host {
@@ -348,14 +355,15 @@
 	return hosts
 }
 
-// report spreads this host's evidence.
+// report spreads this host's evidence when it is due.
 func (e *Entry) report() {
-	record, err := e.ejector.Report(e.clock.Now())
+	record, due, err := e.ejector.Due(e.clock.Now())
 	if err != nil {
 		klog.ErrorS(err, "evidence-not-reported")
-		return
 	}
-	e.exchange.Offer(record)
+	if due {
+		e.exchange.Offer(record)
+	}
 }
 
 // reportPressure spreads the lengths of the queues that this host keeps.
