--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,6 +24,9 @@
 	errCut     = errs.New("the operator cut the requests in flight")
 )
 
+// watchedBody is the length in bytes up to which a body leaves at once.
+const watchedBody = 64 << 10
+
 // outcome is how one attempt ended.
 type outcome struct {
 	// relayed is true when the caller got the backend's answer, or its start.
@@ -72,10 +75,12 @@
 	x.tried = append(x.tried, a.backend.ID)
 	a.start()
 	defer a.stop()
+	token := a.watch()
 	response, err := a.send(x.transport())
 	if err != nil && a.stale() {
 		response, err = a.resend()
 	}
+	a.unwatch(token)
 	a.latency = a.sinceSent()
 	if err != nil {
 		return a.failed(err)
@@ -96,6 +101,22 @@
 	a.due = time.AfterFunc(left, a.expire)
 }
 
+// watch counts the attempt as in flight. A long body takes its time to leave, so
+// only attempts with a short one tell that their backend hangs.
+func (a *attempt) watch() mustardramp.Token {
+	length := a.x.r.ContentLength
+	if a.x.h.config.Watcher == nil || length < 0 || length > watchedBody {
+		return 0
+	}
+	return a.x.h.config.Watcher.Start(a.x.contract.Service, a.backend.ID, a.x.route.Rank, a.began)
+}
+
+func (a *attempt) unwatch(token mustardramp.Token) {
+	if token != 0 {
+		a.x.h.config.Watcher.Answered(a.x.contract.Service, a.backend.ID, token)
+	}
+}
+
 // expire ends an attempt whose backend let the time pass.
 func (a *attempt) expire() {
 	if a.begun.Load() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,8 +71,9 @@
 	Services  Services
 	// Ledger may be nil: then routes with a key are refused.
 	Ledger mustardramp.Ledger
-	// Observer and Tally may be nil.
+	// Observer, Watcher and Tally may be nil.
 	Observer Observer
+	Watcher  mustardramp.Watcher
 	Tally    Tally
 	Clock    mustardramp.Clock
 	// Refusals may be nil: then the handler keeps a memory of its own.
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -155,6 +155,7 @@
 		Services:     &e.services,
 		Ledger:       e.ledger,
 		Observer:     e.ejector,
+		Watcher:      e.ejector,
 		Tally:        &e.tally,
 		Clock:        e.clock,
 		Refusals:     &e.refusals,
