--- a/internal/quorum/benchmark_test.go
+++ b/internal/quorum/benchmark_test.go
@@ -10,8 +10,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
-	"github.com/mustardramp/mustardramp/internal/ledger"
-	"github.com/mustardramp/mustardramp/internal/link"
 )
 
 // nothing is a machine without state.
@@ -57,10 +55,12 @@
 func BenchmarkClaim(b *testing.B) {
 	for _, concurrent := range []int{1, 16, 256} {
 		b.Run(fmt.Sprintf("concurrent=%d", concurrent), func(b *testing.B) {
-			client := startLedger(b)
+			client := newLedgerGroup(b, b.TempDir()).client("entry-1")
+			if _, err := client.Claim(b.Context(), groupClaim("entry-1", -1)); err != nil {
+				b.Fatal(err)
+			}
 			measure(b, concurrent, func(number int64) error {
-				claim := benchmarkClaim(number)
-				reply, err := client.Claim(b.Context(), claim)
+				reply, err := client.Claim(b.Context(), groupClaim("entry-1", number))
 				if err == nil && reply.State != mustardramp.ClaimGranted {
 					return fmt.Errorf("got state %d, want a grant", reply.State)
 				}
@@ -70,43 +70,6 @@
 	}
 }
 
-const benchmarkRegion = "kolkata"
-
-func benchmarkClaim(number int64) mustardramp.Claim {
-	key := mustardramp.OperationKey(fmt.Sprint(number))
-	return mustardramp.Claim{
-		ID:          mustardramp.ClaimID{Service: "mohor", Caller: "bench", Key: key},
-		Host:        "entry-1",
-		Incarnation: 1,
-		Home:        benchmarkRegion,
-		Keep:        time.Hour,
-	}
-}
-
-// startLedger returns a client of a new ledger. It has claimed one key.
-func startLedger(b *testing.B) *ledger.Client {
-	b.Helper()
-	var states []*ledger.State
-	members := startLinked(b, 3, b.TempDir(), func() mustardramp.Machine {
-		states = append(states, &ledger.State{})
-		return states[len(states)-1]
-	})
-	var callers []link.Caller
-	for i, m := range members {
-		host := m.group.Status().Self.Host
-		desk := &ledger.Desk{Region: benchmarkRegion, Member: host, State: states[i], Log: m.group}
-		desk.Serve(&m.server.Router)
-		client := &link.Client{Address: m.address}
-		b.Cleanup(func() { _ = client.Close() })
-		callers = append(callers, client)
-	}
-	client := ledger.NewClient("entry-1", 1, map[mustardramp.Region][]link.Caller{benchmarkRegion: callers})
-	if _, err := client.Claim(b.Context(), benchmarkClaim(-1)); err != nil {
-		b.Fatal(err)
-	}
-	return client
-}
-
 // measure does b.N operations, so many at a time.
 func measure(b *testing.B, concurrent int, do func(number int64) error) {
 	b.Helper()
--- /dev/null
+++ b/internal/quorum/claims_test.go
@@ -0,0 +1,108 @@
+package quorum
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/ledger"
+	"github.com/mustardramp/mustardramp/internal/link"
+)
+
+const groupRegion = "kolkata"
+
+// ledgerGroup is a ledger of three members over TCP on loopback.
+type ledgerGroup struct {
+	tb      testing.TB
+	members []*linked
+}
+
+// newLedgerGroup starts a ledger; its disks are the machine's when folder is
+// not empty.
+func newLedgerGroup(tb testing.TB, folder string) *ledgerGroup {
+	tb.Helper()
+	var states []*ledger.State
+	members := startLinked(tb, 3, folder, func() mustardramp.Machine {
+		states = append(states, &ledger.State{})
+		return states[len(states)-1]
+	})
+	for i, m := range members {
+		desk := &ledger.Desk{Region: groupRegion, Member: m.group.Status().Self.Host, State: states[i], Log: m.group}
+		desk.Serve(&m.server.Router)
+	}
+	return &ledgerGroup{tb: tb, members: members}
+}
+
+// client returns the ledger of an entry host.
+func (g *ledgerGroup) client(host mustardramp.HostName) *ledger.Client {
+	var callers []link.Caller
+	for _, m := range g.members {
+		client := &link.Client{Address: m.address}
+		g.tb.Cleanup(func() { _ = client.Close() })
+		callers = append(callers, client)
+	}
+	return ledger.NewClient(host, 1, map[mustardramp.Region][]link.Caller{groupRegion: callers})
+}
+
+func groupClaim(host mustardramp.HostName, number int64) mustardramp.Claim {
+	key := mustardramp.OperationKey(fmt.Sprint(number))
+	return mustardramp.Claim{
+		ID:          mustardramp.ClaimID{Service: "mohor", Caller: "bench", Key: key},
+		Host:        host,
+		Incarnation: 1,
+		Home:        groupRegion,
+		Keep:        time.Hour,
+	}
+}
+
+// Two entry hosts claim the same keys while the leader of the ledger is lost.
+func TestClaimsGoOnWithoutALostLeader(t *testing.T) {
+	const keys = 40
+	group := newLedgerGroup(t, "")
+	grants := [2][keys]bool{}
+	var work errgroup.Group
+	half := make(chan struct{})
+	for n, host := range []mustardramp.HostName{"entry-1", "entry-2"} {
+		client := group.client(host)
+		work.Go(func() error {
+			for number := range int64(keys) {
+				if n == 0 && number == keys/2 {
+					close(half)
+				}
+				reply, err := claimUntilAnswered(t.Context(), client, groupClaim(host, number))
+				if err != nil {
+					return err
+				}
+				grants[n][number] = reply.State == mustardramp.ClaimGranted
+			}
+			return nil
+		})
+	}
+	<-half
+	for _, m := range group.members {
+		if m.group.Status().IsLeading() {
+			m.stop()
+		}
+	}
+	if err := work.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	for number := range keys {
+		if grants[0][number] && grants[1][number] {
+			t.Errorf("key %d: got two grants, want at most one", number)
+		}
+	}
+}
+
+func claimUntilAnswered(ctx context.Context, client *ledger.Client, claim mustardramp.Claim) (mustardramp.ClaimReply, error) {
+	for {
+		reply, err := client.Claim(ctx, claim)
+		if err == nil || ctx.Err() != nil {
+			return reply, err
+		}
+	}
+}
