--- a/internal/quorum/benchmark_test.go
+++ b/internal/quorum/benchmark_test.go
@@ -28,7 +28,10 @@
 		b.Run(fmt.Sprintf("concurrent=%d", concurrent), func(b *testing.B) {
 			members := startLinked(b, 3, b.TempDir(), func() mustardramp.Machine { return nothing{} })
 			follower := waitForFollower(b, members)
-			commitMany(b, follower.group, concurrent)
+			measure(b, concurrent, func(int64) error {
+				_, err := follower.group.Propose(b.Context(), make([]byte, commandSize))
+				return err
+			})
 		})
 	}
 }
@@ -47,8 +50,28 @@
 	return nil
 }
 
-// commitMany commits b.N commands, so many at a time.
-func commitMany(b *testing.B, log mustardramp.Log, concurrent int) {
+// BenchmarkClaim measures claims of new keys by an entry host over TCP on
+// loopback, against a ledger of three members with real files and syncs.
+func BenchmarkClaim(b *testing.B) {
+	for _, concurrent := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("concurrent=%d", concurrent), func(b *testing.B) {
+			client := newLedgerGroup(b, b.TempDir()).client("entry-1")
+			if _, err := client.Claim(b.Context(), groupClaim("entry-1", -1)); err != nil {
+				b.Fatal(err)
+			}
+			measure(b, concurrent, func(number int64) error {
+				reply, err := client.Claim(b.Context(), groupClaim("entry-1", number))
+				if err == nil && reply.State != mustardramp.ClaimGranted {
+					return fmt.Errorf("got state %d, want a grant", reply.State)
+				}
+				return err
+			})
+		})
+	}
+}
+
+// measure does b.N operations, so many at a time.
+func measure(b *testing.B, concurrent int, do func(number int64) error) {
 	b.Helper()
 	var left atomic.Int64
 	left.Store(int64(b.N))
@@ -58,9 +81,9 @@
 	for i := range concurrent {
 		histograms[i] = hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 		work.Go(func() error {
-			for left.Add(-1) >= 0 {
+			for number := left.Add(-1); number >= 0; number = left.Add(-1) {
 				start := time.Now()
-				if _, err := log.Propose(b.Context(), make([]byte, commandSize)); err != nil {
+				if err := do(number); err != nil {
 					return err
 				}
 				if err := histograms[i].RecordValue(time.Since(start).Microseconds()); err != nil {
@@ -80,7 +103,7 @@
 	}
 	b.ReportMetric(float64(all.ValueAtQuantile(50))/1000, "p50-ms")
 	b.ReportMetric(float64(all.ValueAtQuantile(99))/1000, "p99-ms")
-	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "operations/s")
 }
 
 // BenchmarkFailover measures from the stop of a leader to the first commit
