Meter answers that cross the link

Cause: most bytes of reads are in their answers, whose size is not known before. Conclusion: answers of 100 kB on 1 MB/s pass ten times a second (TestAnswersAreMetered).

--- a/internal/crossing/crossing_test.go
+++ b/internal/crossing/crossing_test.go
@@ -78,3 +78,25 @@
 		t.Error("got no leave without a rate")
 	}
 }
+
+func TestAnswersAreMetered(t *testing.T) {
+	const rate = 1_000_000
+	link := &Link{}
+	link.Configure(rate, 1)
+	s := Service{Link: link}
+	s.Learn(mustardramp.Urgent, 100_000)
+	passed := 0
+	for ms := range 10_000 {
+		if s.Allow(mustardramp.Urgent, 0, start.Add(time.Duration(ms)*time.Millisecond)) {
+			passed++
+		}
+	}
+	// Ten a second for ten seconds, and the savings of one second.
+	if got, want := passed, 100; got < want || got > want+12 {
+		t.Errorf("got %d requests with answers of 100 kB, want %d to %d", got, want, want+12)
+	}
+	var free Link
+	if s := (Service{Link: &free}); !s.Allow(mustardramp.Bulk, 1<<40, start) || !s.Allow(mustardramp.Bulk, 1<<40, start) {
+		t.Error("got no leave without a rate")
+	}
+}
