Meter the link between regions on entry hosts

Cause: no pool had a meter, so any rank could fill the link. This touches internal/host. Conclusion: the rate is a constant of the crossing package; a setting is left to add.

--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -157,7 +157,7 @@
 		Services:     &e.services,
 		Ledger:       e.ledger,
 		Observer:     e.ejector,
-		Tally:        &e.tally,
+		Tally:        &measured{Tally: &e.tally, services: &e.services},
 		Clock:        e.clock,
 		Refusals:     &e.refusals,
 		CallerHeader: config.CallerHeader,
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/crossing"
 	"github.com/mustardramp/mustardramp/internal/entry"
 	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/pool"
@@ -17,8 +18,10 @@
 type running struct {
 	pool   *lease.Pool
 	budget *retry.Budget
-	counts counts
-	entry  entry.Service
+	// crossing meters what the service sends to the other region.
+	crossing crossing.Service
+	counts   counts
+	entry    entry.Service
 	// standings are the ones that the pool holds, for operators.
 	standings atomic.Pointer[[]mustardramp.Standing]
 }
@@ -45,8 +48,9 @@
 	clock  mustardramp.Clock
 	peers  lease.Peers
 	// fleet is used by the goroutine of setHosts alone.
-	fleet  *lease.Fleet
-	link   pool.Link
+	fleet *lease.Fleet
+	// link is this host's part of the link between regions.
+	link   crossing.Link
 	byName atomic.Pointer[map[mustardramp.ServiceName]*running]
 }
 
@@ -89,11 +93,12 @@
 
 func (s *services) start(c *contract.Contract) *running {
 	r := &running{budget: retry.New(c.Budget)}
+	r.crossing.Link = &s.link
 	r.pool = lease.New(lease.Config{
 		Pool: pool.Config{
 			Terms:   pool.TermsOf(c),
 			Place:   s.place,
-			Link:    s.link,
+			Link:    &r.crossing,
 			Results: r.budget,
 			Clock:   s.clock,
 			Seed:    s.seed(c.Service),
@@ -128,7 +133,33 @@
 		fleet = s.fleet
 	}
 	s.fleet = fleet
+	s.link.Configure(crossing.DefaultRate, s.neighbours(hosts))
 	for _, r := range s.all() {
 		r.pool.SetFleet(fleet)
 	}
 }
+
+// neighbours counts the hosts that share the link to the other region.
+func (s *services) neighbours(hosts []lease.Host) int {
+	n := 0
+	for _, h := range hosts {
+		if h.Place.Region == s.place.Region {
+			n++
+		}
+	}
+	return n
+}
+
+// measured tells the meters of the link the sizes of answers.
+type measured struct {
+	entry.Tally
+	services *services
+}
+
+// Count implements entry.Tally.
+func (m *measured) Count(measure entry.Measure) {
+	m.Tally.Count(measure)
+	if r := m.services.running(measure.Service); r != nil && measure.Refused == mustardramp.KindUnknown {
+		r.crossing.Learn(measure.Rank, measure.Size)
+	}
+}
