--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -156,7 +156,7 @@
 		Ledger:       e.ledger,
 		Observer:     e.ejector,
 		Watcher:      e.ejector,
-		Tally:        &e.tally,
+		Tally:        &measured{Tally: &e.tally, services: &e.services},
 		Clock:        e.clock,
 		Refusals:     &e.refusals,
 		CallerHeader: config.CallerHeader,
