Refuse a contract whose home region keeps no ledger

Cause: a keyed route with an unknown home region was accepted and then refused every request with kind ledger. Change: control hosts check the home against the regions of the control hosts. Conclusion: TestHomeMustHaveALedger holds.

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -87,7 +87,7 @@
 		}
 	}
 	log := c.groups[0].log
-	c.desk = registry.Desk{State: &c.state, Log: log}
+	c.desk = registry.Desk{State: &c.state, Log: log, Homes: placement.Regions(c.config.Control)}
 	c.desk.Serve(&c.server.Router)
 	c.exchange = exchange.New(&c.server.Router, exchange.Options{
 		Self:  c.config.self(membership.Control, c.Link(), c.Admin(), c.incarnation),
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,7 +51,7 @@
 	for _, m := range sorted {
 		groups[0].Hosts = append(groups[0].Hosts, m.Name)
 	}
-	for _, region := range regions(sorted) {
+	for _, region := range Regions(sorted) {
 		groups = append(groups, ledger(region, sorted))
 	}
 	return groups
@@ -62,7 +62,8 @@
 	return ledgerPrefix + string(region)
 }
 
-func regions(members []setting.Member) []mustardramp.Region {
+// Regions lists the regions of the control hosts; each has a ledger.
+func Regions(members []setting.Member) []mustardramp.Region {
 	seen := map[mustardramp.Region]bool{}
 	var out []mustardramp.Region
 	for _, m := range members {
--- a/internal/registry/desk.go
+++ b/internal/registry/desk.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/pkg/contract"
@@ -13,6 +16,9 @@
 	// State is the machine behind Log.
 	State *State
 	Log   mustardramp.Log
+	// Homes lists the regions that have a ledger; a contract with another home
+	// region is a fault. Empty means that any region will do.
+	Homes []mustardramp.Region
 }
 
 // Check reports every fault in files, also against the contracts in force.
@@ -20,12 +26,41 @@
 	if err := d.Log.Confirm(ctx); err != nil {
 		return nil, err
 	}
-	return d.State.Check(files), nil
+	return d.faults(files), nil
+}
+
+// faults reports the faults in files, also against the contracts in force and
+// the regions of the fleet.
+func (d *Desk) faults(files []File) contract.Faults {
+	faults := d.State.Check(files)
+	for _, f := range files {
+		c, err := contract.Parse(f.Name, f.Source)
+		if err != nil || c.Home == "" || len(d.Homes) == 0 || slices.Contains(d.Homes, c.Home) {
+			continue
+		}
+		faults = append(faults, contract.Fault{
+			File: f.Name, Line: c.Line("home"), Column: 1,
+			Reason: "no ledger is kept in region " + strconv.Quote(string(c.Home)),
+			Remedy: "use one of " + join(d.Homes),
+		})
+	}
+	return faults
+}
+
+func join(regions []mustardramp.Region) string {
+	names := make([]string, len(regions))
+	for i, r := range regions {
+		names[i] = string(r)
+	}
+	return strings.Join(names, ", ")
 }
 
 // Publish commits a change. After an error the change may still take force;
 // sending it again with the same change id is safe.
 func (d *Desk) Publish(ctx context.Context, command Command) (Result, error) {
+	if faults := d.faults(command.Files); len(faults) > 0 && !d.State.Knows(command.Change) {
+		return Result{Faults: faults}, nil
+	}
 	encoded, err := command.Encode()
 	if err != nil {
 		return Result{}, err
--- a/internal/registry/read.go
+++ b/internal/registry/read.go
@@ -51,6 +51,14 @@
 	return out
 }
 
+// Knows reports whether a change of that id was accepted.
+func (s *State) Knows(id mustardramp.ChangeID) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.byID[id]
+	return ok
+}
+
 func (c Change) touches(service mustardramp.ServiceName) bool {
 	for _, s := range c.Services {
 		if s.Service == service {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -204,3 +205,38 @@
 		}
 	})
 }
+
+// direct is a log of one member without a disk.
+type direct struct{ state *registry.State }
+
+func (d direct) Propose(_ context.Context, command []byte) ([]byte, error) {
+	return d.state.Apply(1, command), nil
+}
+
+func (direct) Confirm(context.Context) error { return nil }
+
+func TestHomeMustHaveALedger(t *testing.T) {
+	keyed := func(home string) registry.File {
+		return registry.File{Name: "a.yaml", Source: []byte("service: a\nhome: " + home + "\nroutes:\n- {path: /a, methods: [POST], once: true, key: K}\n")}
+	}
+	tests := map[string]struct {
+		home string
+		want bool
+	}{
+		"known":   {"kolkata", true},
+		"unknown": {"austland", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			state := &registry.State{}
+			desk := registry.Desk{State: state, Log: direct{state}, Homes: []mustardramp.Region{"kolkata", "siliguri"}}
+			result, err := desk.Publish(t.Context(), registry.Command{Change: "c", Files: []registry.File{keyed(test.home)}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := result.Change != nil; got != test.want {
+				t.Errorf("got accepted %v (%v), want %v", got, result.Faults, test.want)
+			}
+		})
+	}
+}
