Refuse to move a service's home region

Cause: the ledger of the old home holds the keys; after a move a key that ran could be claimed again in the new one. Change: the registry refuses a contract whose home differs from the one in force. Conclusion: TestHomeDoesNotMove holds.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -215,6 +215,34 @@
 
 func (direct) Confirm(context.Context) error { return nil }
 
+func TestHomeDoesNotMove(t *testing.T) {
+	keyed := func(home string, base mustardramp.Revision) registry.File {
+		source := "service: a\nroutes:\n- {path: /a, methods: [GET]}\n"
+		if home != "" {
+			source = "home: " + home + "\n" + source
+		}
+		return registry.File{Name: "a.yaml", Source: []byte(source), Base: base}
+	}
+	tests := map[string]struct {
+		from, to string
+		want     bool
+	}{
+		"same":    {"kolkata", "kolkata", true},
+		"first":   {"", "kolkata", true},
+		"moved":   {"kolkata", "siliguri", false},
+		"removed": {"kolkata", "", false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := &bench{t: t}
+			b.mustPublish("one", keyed(test.from, 0))
+			if got := b.publish("two", keyed(test.to, 1)); (got.Change != nil) != test.want {
+				t.Errorf("got %+v, want accepted %v", got, test.want)
+			}
+		})
+	}
+}
+
 func TestHomeMustHaveALedger(t *testing.T) {
 	keyed := func(home string) registry.File {
 		return registry.File{Name: "a.yaml", Source: []byte("service: a\nhome: " + home + "\nroutes:\n- {path: /a, methods: [POST], once: true, key: K}\n")}
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -160,7 +160,26 @@
 		names = append(names, s.newest(service).File)
 		all = append(all, s.parsed[service])
 	}
-	return contract.CheckSet(append(names, files...), append(all, contracts...))
+	faults := contract.CheckSet(append(names, files...), append(all, contracts...))
+	return append(faults, s.movedHomes(files, contracts)...)
+}
+
+// movedHomes reports contracts whose home region differs from the one in
+// force: the old region's ledger holds the keys, so a key could run again.
+func (s *State) movedHomes(files []string, contracts []*contract.Contract) contract.Faults {
+	var faults contract.Faults
+	for i, k := range contracts {
+		old := s.parsed[k.Service]
+		if old == nil || old.Home == "" || old.Home == k.Home {
+			continue
+		}
+		faults = append(faults, contract.Fault{
+			File: files[i], Line: k.Line("home"), Column: 1,
+			Reason: "the home region moves from " + string(old.Home) + ", whose ledger holds the keys",
+			Remedy: "keep home: " + string(old.Home) + ", or give the service a new name",
+		})
+	}
+	return faults
 }
 
 func (s *State) conflict(k *contract.Contract, f File) *Conflict {
