Show whether a control host's member votes, and wait for it in the test

With two of three voters gone no group may go on: the product was right. Change: fleet status shows 'joining' for a member without a vote; the test waits for the new member's own vote, which is stricter.

--- a/design/types.go
+++ b/design/types.go
@@ -176,7 +176,7 @@
 	Attribute("term", UInt64)
 	Attribute("committed", UInt64)
 	Attribute("members", ArrayOf(String))
-	Attribute("role", String, "The asked host's own role: leader, follower, candidate or none")
+	Attribute("role", String, "The asked host's own role: leader, follower or joining")
 	Required("group", "leader", "term", "committed", "members", "role")
 })
 
--- a/gen/fleet/service.go
+++ b/gen/fleet/service.go
@@ -110,7 +110,7 @@
 	Term      uint64
 	Committed uint64
 	Members   []string
-	// The asked host's own role: leader, follower, candidate or none
+	// The asked host's own role: leader, follower or joining
 	Role string
 }
 
--- a/gen/http/fleet/client/types.go
+++ b/gen/http/fleet/client/types.go
@@ -381,7 +381,7 @@
 	Term      *uint64  `form:"term,omitempty" json:"term,omitempty" xml:"term,omitempty"`
 	Committed *uint64  `form:"committed,omitempty" json:"committed,omitempty" xml:"committed,omitempty"`
 	Members   []string `form:"members,omitempty" json:"members,omitempty" xml:"members,omitempty"`
-	// The asked host's own role: leader, follower, candidate or none
+	// The asked host's own role: leader, follower or joining
 	Role *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
 }
 
--- a/gen/http/fleet/server/types.go
+++ b/gen/http/fleet/server/types.go
@@ -381,7 +381,7 @@
 	Term      uint64   `form:"term" json:"term" xml:"term"`
 	Committed uint64   `form:"committed" json:"committed" xml:"committed"`
 	Members   []string `form:"members" json:"members" xml:"members"`
-	// The asked host's own role: leader, follower, candidate or none
+	// The asked host's own role: leader, follower or joining
 	Role string `form:"role" json:"role" xml:"role"`
 }
 
--- a/internal/fleet/loss_test.go
+++ b/internal/fleet/loss_test.go
@@ -76,14 +76,14 @@
 	}
 	f.control[2].args[replaced] = t.TempDir()
 	f.control[2].start()
-	// The new member lists itself alone under the host's name once it votes
-	// and the old member is removed; then the loss of another is survived.
+	// The group counts on the new member once it votes and the old one is
+	// removed; then the loss of another is survived.
 	eventually(t, "the new member's vote", func() error {
 		out, err := f.groups(2)
 		if err != nil {
 			return err
 		}
-		if strings.Contains(out, "joins") || strings.Count(out, "control-3") != 1 {
+		if !strings.Contains(out, " follower ") || strings.Count(out, "control-3") != 1 {
 			return fmt.Errorf("the new member does not vote yet: %s", out)
 		}
 		return nil
--- a/internal/host/group.go
+++ b/internal/host/group.go
@@ -59,7 +59,7 @@
 func (g *group) status() *fleetapi.GroupStatus {
 	s := g.log.Status()
 	out := &fleetapi.GroupStatus{
-		Group: g.Name, Term: uint64(s.Term), Committed: uint64(s.Commit), Members: []string{}, Role: "follower",
+		Group: g.Name, Term: uint64(s.Term), Committed: uint64(s.Commit), Members: []string{}, Role: roleOf(s),
 	}
 	for _, m := range s.Membership {
 		name := string(m.Host)
@@ -71,8 +71,19 @@
 		}
 		out.Members = append(out.Members, name)
 	}
-	if s.IsLeading() {
-		out.Role = "leader"
-	}
 	return out
 }
+
+// roleOf names what the member is in its group. A member without a vote is
+// joining: the group does not count on it yet.
+func roleOf(s quorum.Status) string {
+	self, ok := s.Membership.Member(s.Self.ID)
+	switch {
+	case s.IsLeading():
+		return "leader"
+	case ok && self.Voter:
+		return "follower"
+	default:
+		return "joining"
+	}
+}
