Tell followers of a commit only when callers wait there

Cause: each commit was told to each follower at once, and each of these appends was answered, although nobody waited for it there. Change: a leader tells a follower at once of what its own proposals and reads wait for; otherwise with the next append or heartbeat.

--- a/internal/quorum/leading.go
+++ b/internal/quorum/leading.go
@@ -22,8 +22,10 @@
 	waiting bool
 	// silent counts the ticks since the member was heard.
 	silent int
-	// told is the commit index last sent.
+	// told is the commit index last sent. One below owed is sent at once, for
+	// callers wait for it there; otherwise with the next append or heartbeat.
 	told mustardramp.Index
+	owed mustardramp.Index
 	// round is the newest round that the member has answered, asked the
 	// newest sent to it.
 	round Round
@@ -153,11 +155,19 @@
 		c.sendAppend(id, p, c.appendBytes)
 		return
 	}
-	if p.told < c.commit || p.asked < c.leading.round {
+	isWaiting := p.told < c.commit && p.told < p.owed
+	if isWaiting || p.asked < c.leading.round {
 		c.sendAppend(id, p, 0)
 	}
 }
 
+// owe notes that callers on a member wait for an index to be applied there.
+func (c *core) owe(id MemberID, index mustardramp.Index) {
+	if p := c.leading.peers[id]; p != nil {
+		p.owed = max(p.owed, index)
+	}
+}
+
 // sendAppend sends entries of up to limit bytes from the member's next one on.
 func (c *core) sendAppend(id MemberID, p *progress, limit int) {
 	before := p.next - 1
--- a/internal/quorum/proposing.go
+++ b/internal/quorum/proposing.go
@@ -26,6 +26,7 @@
 func (c *core) handlePropose(m Message) {
 	if c.role == leader {
 		c.propose(m.Entries)
+		c.owe(m.From, c.log.last())
 		return
 	}
 	names := make([]Entry, len(m.Entries))
--- a/internal/quorum/reading.go
+++ b/internal/quorum/reading.go
@@ -85,6 +85,9 @@
 		c.out.reads = append(c.out.reads, result)
 		return
 	}
+	if c.leading != nil {
+		c.owe(r.from, index)
+	}
 	c.reply(Message{
 		Kind:    MessageReadReply,
 		To:      r.from,
