Let hedges be paid by any retry budget

Cause: retry.Hedge names the concrete budget, while the data path knows the interface mustardramp.RetryBudget alone. Change: the field Budget has the interface's type. Conclusion: no decision changes; the tests of the package pass as they were.

--- a/internal/retry/hedge.go
+++ b/internal/retry/hedge.go
@@ -24,7 +24,7 @@
 // zero value never hedges. It is safe for concurrent use and takes no lock.
 type Hedge struct {
 	// Budget pays for hedges; nil means that there are none.
-	Budget *Budget
+	Budget mustardramp.RetryBudget
 	ranks  [mustardramp.RankCount]speed
 }
 
