Hedge late reads of contracts that ask for it

Cause: the contract's field hedge was read by nobody, a setting without effect. Change: a GET or HEAD without a body on a route with retry is sent a second time, at another backend and on the service's retry budget, when its answer is later than retry.Hedge expects. The first good answer is relayed; the other attempt is cancelled and its slot released as abandoned before. Requests that waited for their slot are not hedged. Answers of status 1xx to hedgeable requests are not passed on. No wiring is needed: entry.Service keeps what it learns. The test fixture keeps one Service and may take a contract and a clock. An abandoned attempt is no evidence, so a slow backend shows less while hedged.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -46,6 +46,7 @@
 	x       *exchange
 	slot    mustardramp.Slot
 	backend mustardramp.Backend
+	parent  context.Context
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	// due ends the attempt: at the deadline until the answer begins, and after
@@ -71,32 +72,53 @@
 // dispatch sends the request to the slot's backend, relays the answer and
 // releases the slot.
 func (x *exchange) dispatch(slot mustardramp.Slot) *outcome {
-	a := &attempt{x: x, slot: slot, backend: slot.Backend(), began: x.h.config.Clock.Now()}
+	a := x.newAttempt(x.parent(), slot)
 	x.tried = append(x.tried, a.backend.ID)
+	response, err := a.ask()
+	return a.end(response, err)
+}
+
+// parent returns the context of an attempt. Non-idempotent work goes on when
+// the caller leaves, so that its outcome is known; other work ends at once.
+func (x *exchange) parent() context.Context {
+	if x.route.Once {
+		return x.h.lasting()
+	}
+	return x.r.Context()
+}
+
+func (x *exchange) newAttempt(parent context.Context, slot mustardramp.Slot) *attempt {
+	return &attempt{x: x, slot: slot, backend: slot.Backend(), parent: parent, began: x.h.config.Clock.Now()}
+}
+
+// ask sends the request and waits for the header of the answer. Of the
+// exchange it changes nothing.
+func (a *attempt) ask() (*http.Response, error) {
 	a.start()
-	defer a.stop()
 	token := a.watch()
-	response, err := a.send(x.transport())
+	response, err := a.send(a.x.transport())
 	if err != nil && a.stale() {
 		response, err = a.resend()
 	}
 	a.unwatch(token)
 	a.latency = a.sinceSent()
+	if err == nil {
+		a.begun.Store(true)
+	}
+	return response, err
+}
+
+// end judges what ask brought, relays an answer and releases the slot.
+func (a *attempt) end(response *http.Response, err error) *outcome {
+	defer a.stop()
 	if err != nil {
 		return a.failed(err)
 	}
-	a.begun.Store(true)
 	return a.receive(response)
 }
 
-// start builds the attempt's context. Non-idempotent work goes on when the
-// caller leaves, so that its outcome is known; other work ends at once.
 func (a *attempt) start() {
-	parent := a.x.r.Context()
-	if a.x.route.Once {
-		parent = a.x.h.lasting()
-	}
-	a.ctx, a.cancel = context.WithCancelCause(parent)
+	a.ctx, a.cancel = context.WithCancelCause(a.parent)
 	left := a.x.deadline.Sub(a.began)
 	a.due = time.AfterFunc(left, a.expire)
 }
@@ -275,6 +297,11 @@
 	switch {
 	case errors.Is(cause, errCut):
 		return mustardramp.ResultAbandoned, x.interrupted(x.h.base)
+	case errors.Is(cause, errOvertaken):
+		return mustardramp.ResultAbandoned, &mustardramp.Denial{
+			Kind:   mustardramp.KindLost,
+			Reason: "another backend answered first",
+		}
 	case errors.Is(cause, errTimeout):
 		return mustardramp.ResultTimeout, &mustardramp.Denial{
 			Kind:   mustardramp.KindTimeout,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/refusal"
+	"github.com/mustardramp/mustardramp/internal/retry"
 	"github.com/mustardramp/mustardramp/pkg/contract"
 )
 
@@ -22,6 +23,11 @@
 	Pool mustardramp.Pool
 	// Budget may be nil: then no attempt is repeated.
 	Budget mustardramp.RetryBudget
+
+	// ready gives hedge its budget, once.
+	ready sync.Once
+	// hedge learns the latencies of the reads of contracts with hedges.
+	hedge retry.Hedge
 }
 
 // Services finds the running part of a service. It is read for each request,
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -172,6 +172,10 @@
 		x.service.Budget.Fresh(x.route.Rank, x.h.config.Clock.Now())
 	}
 	var last *outcome
+	send := x.dispatch
+	if hedge := x.hedge(); hedge != nil {
+		send = newPair(x, hedge).dispatch
+	}
 	for {
 		slot, err := x.acquire()
 		if err != nil && last == nil {
@@ -180,7 +184,8 @@
 		if err != nil {
 			return x.conclude(last, x.turnedAway(err))
 		}
-		last = x.dispatch(slot)
+		last = send(slot)
+		send = x.dispatch
 		if last.relayed {
 			return nil
 		}
@@ -212,16 +217,20 @@
 		return nil, context.DeadlineExceeded
 	}
 	// The pool heeds the demand's deadline, so the context needs none.
-	slot, err := x.service.Pool.Acquire(x.r.Context(), mustardramp.Demand{
+	slot, err := x.service.Pool.Acquire(x.r.Context(), x.demand())
+	x.wait += x.h.config.Clock.Now().Sub(before)
+	return slot, err
+}
+
+func (x *exchange) demand() mustardramp.Demand {
+	return mustardramp.Demand{
 		Rank:       x.route.Rank,
 		Caller:     x.caller,
 		Deadline:   x.deadline,
 		Idempotent: x.route.Idempotent(),
 		Tried:      x.tried,
 		Size:       x.body.size(x.r),
-	})
-	x.wait += x.h.config.Clock.Now().Sub(before)
-	return slot, err
+	}
 }
 
 // turnedAway explains why the pool gave no slot.
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -57,9 +57,14 @@
 	results  []mustardramp.Result
 	demands  []mustardramp.Demand
 	held     int
+	// delay may be nil. It is called while a slot is waited for.
+	delay func()
 }
 
 func (p *fakePool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
+	if p.delay != nil {
+		p.delay()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.demands = append(p.demands, demand)
@@ -86,6 +91,13 @@
 	return slices.Clone(p.results)
 }
 
+// free reports whether no slot is held.
+func (p *fakePool) free() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held == 0
+}
+
 type fakeSlot struct {
 	pool     *fakePool
 	backend  mustardramp.Backend
@@ -224,16 +236,23 @@
 	pool    *fakePool
 	budget  *fakeBudget
 	ledger  *fakeLedger
+	service Service
 }
 
 // Service makes the fixture its own Services.
 func (f *fixture) Service(mustardramp.ServiceName) *Service {
-	return &Service{Pool: f.pool, Budget: f.budget}
+	return &f.service
 }
 
 func newFixture(t testing.TB, backends ...string) *fixture {
+	t.Helper()
+	return newFixtureOf(t, parseContract(t), mustardramp.SystemClock{}, backends...)
+}
+
+func newFixtureOf(t testing.TB, c *contract.Contract, clock mustardramp.Clock, backends ...string) *fixture {
 	t.Helper()
 	f := &fixture{pool: &fakePool{}, budget: &fakeBudget{}, ledger: &fakeLedger{}}
+	f.service.Pool, f.service.Budget = f.pool, f.budget
 	f.budget.left.Store(100)
 	for _, address := range backends {
 		b := mustardramp.Backend{
@@ -244,13 +263,14 @@
 		}
 		f.pool.backends = append(f.pool.backends, b)
 	}
-	set := contract.NewSet(1, []*contract.Contract{parseContract(t)})
+	set := contract.NewSet(1, []*contract.Contract{c})
 	f.handler = New(Config{
 		Host:        "kol-a-1",
 		Incarnation: 7,
 		Contracts:   func() *contract.Set { return set },
 		Services:    f,
 		Ledger:      f.ledger,
+		Clock:       clock,
 	})
 	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(func() {
