--- a/internal/ejection/detection_test.go
+++ b/internal/ejection/detection_test.go
@@ -197,3 +197,39 @@
 		})
 	}
 }
+
+// A host that starts while a backend is ejected takes over the ejection before
+// its own evidence would show it.
+func TestJoiningHostFollows(t *testing.T) {
+	tr := newTrial(*trialSeed, deployments["dhwani"])
+	tr.due = every(10)
+	tr.run(warmUp, nil)
+	tr.due = every(1)
+	tr.await(faults["fails all"])
+	tr.join(1)
+	tr.run(time.Second, nil)
+	if st := tr.last[trialHosts][illBackend]; !st.Ejected {
+		t.Errorf("got %q, want the backend ejected", st.Cause)
+	}
+}
+
+// A single host that cannot reach one backend avoids it alone.
+func TestOneHostsPathIsBad(t *testing.T) {
+	tr := newTrial(*trialSeed, deployments["dhwani"])
+	tr.due = every(10)
+	tr.run(warmUp, nil)
+	tr.due = every(2)
+	tr.model = ill(func(t *trial, r request) reply {
+		if r.host != 0 {
+			return healthy(t, r)
+		}
+		return reply{mustardramp.ResultDial, time.Millisecond}
+	})
+	tr.run(30*time.Second, func() bool { return tr.last[0][illBackend].Avoided })
+	for i, standings := range tr.last {
+		got := standings[illBackend].Ejected || standings[illBackend].Avoided
+		if want := i == 0; got != want {
+			t.Errorf("host %d: got out %t, want %t", i, got, want)
+		}
+	}
+}
