--- a/internal/ejection/judge.go
+++ b/internal/ejection/judge.go
@@ -24,6 +24,9 @@
 	// idle is the weight of recent outcomes below which a service is not
 	// judged.
 	idle = 1e-3
+	// zoneEvidence is the log-likelihood ratio from which the hosts of a zone
+	// see an illness; one bad outcome alone does not reach it.
+	zoneEvidence = 4.0
 	// otherOutcomes is the fewest outcomes of other zones that can show that a
 	// fault is one of the path.
 	otherOutcomes = 4
@@ -134,7 +137,7 @@
 	var seeing int
 	var others sample
 	for _, zone := range m.zones {
-		if h.evidence(zone.n, zone.bad[k]) > 0 {
+		if h.evidence(zone.n, zone.bad[k]) >= zoneEvidence {
 			seeing++
 			continue
 		}
