Report bad outcomes at once and good ones rarely, within a budget

Change: Due returns a small report at once after a bad outcome or a decision, and a full one each 15 s, within 100 B/s for each host. Reported good outcomes count evenly over the time between full reports. A host that started relies on the others' ejections until it heard two full reports. Slowness is tested against a smaller alternative, since its good outcomes now come late. Conclusion: the host must call Due after its steps in place of Report.

--- a/internal/ejection/cusum.go
+++ b/internal/ejection/cusum.go
@@ -55,7 +55,7 @@
 
 var shapes = [kindCount]shape{
 	failing: {margin: 0.0025, step: 0.25, growth: 5},
-	slowing: {margin: 0.01, step: 0.75, growth: 2},
+	slowing: {margin: 0.01, step: 0.5, growth: 2},
 }
 
 // hypothesis is a pair of shares of bad outcomes: of a healthy backend and of
--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -5,8 +5,6 @@
 package ejection
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +27,9 @@
 // DefaultSpread is the time in which a report is expected at every host.
 const DefaultSpread = 200 * time.Millisecond
 
+// DefaultLearning is the time of two full reports.
+const DefaultLearning = 2 * quietInterval
+
 // Ejector implements mustardramp.Ejector. Its zero value works. The exported
 // fields are set before the first call.
 type Ejector struct {
@@ -46,6 +47,13 @@
 	// DefaultSpread. A new ejection is made known two spreads before.
 	Spread time.Duration
 
+	// Learning is how long a host that started relies on the ejections of the
+	// others while it learns their outcomes; 0 stands for DefaultLearning.
+	Learning time.Duration
+	// Budget is the number of bytes a second that Due spends on average; 0
+	// stands for DefaultBudget.
+	Budget mustardramp.Bytes
+
 	once  sync.Once
 	tally evidence.Tally
 
@@ -55,8 +63,7 @@
 	services map[mustardramp.ServiceName]*service
 	members  map[mustardramp.BackendID]*member
 	sequence uint64
-	// reported is when the last report was due.
-	reported time.Time
+	pace     pace
 }
 
 var (
@@ -124,19 +131,6 @@
 	return roster.Work{}
 }
 
-// Report returns this host's evidence and decisions to pass on.
-func (e *Ejector) Report(now time.Time) (mustardramp.Record, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	report := evidence.Report{Place: e.Place}
-	for _, name := range slices.Sorted(maps.Keys(e.services)) {
-		report.Services = append(report.Services, e.services[name].report(now))
-	}
-	e.sequence++
-	version := mustardramp.Version{Epoch: uint64(e.Incarnation), Sequence: e.sequence}
-	return report.Record(e.Host, version)
-}
-
 func (e *Ejector) init() {
 	e.once.Do(func() {
 		e.tally.Place = e.Place
@@ -148,7 +142,7 @@
 func (e *Ejector) service(name mustardramp.ServiceName) *service {
 	s := e.services[name]
 	if s == nil {
-		s = &service{name: name}
+		s = &service{name: name, learning: e.learning()}
 		e.services[name] = s
 	}
 	return s
@@ -161,6 +155,13 @@
 	return e.Terms(name)
 }
 
+func (e *Ejector) learning() time.Duration {
+	if e.Learning == 0 {
+		return DefaultLearning
+	}
+	return e.Learning
+}
+
 func (e *Ejector) spread() time.Duration {
 	if e.Spread == 0 {
 		return DefaultSpread
--- a/internal/ejection/floor_test.go
+++ b/internal/ejection/floor_test.go
@@ -51,6 +51,7 @@
 		name := mustardramp.HostName(fmt.Sprintf("h%d", i))
 		e := ejection.New(name, 1, zones[i%places])
 		e.Terms = func(mustardramp.ServiceName) ejection.Terms { return terms }
+		e.Learning = tick
 		f.hosts = append(f.hosts, e)
 		f.views = append(f.views, append([]mustardramp.Backend(nil), list...))
 		f.last = append(f.last, nil)
--- a/internal/ejection/member.go
+++ b/internal/ejection/member.go
@@ -63,8 +63,9 @@
 	probation = 0.5
 	// maxFlaps bounds the doublings of the hold.
 	maxFlaps = 6
-	// keepRows is how long after its last change a count is still reported.
-	keepRows = 3 * time.Second
+	// keepRows is how long after its last change a count stands in the full
+	// reports.
+	keepRows = 2 * quietInterval
 	// zoneSpan is the time constant of the outcomes by zone.
 	zoneSpan = 3 * time.Second
 )
@@ -82,14 +83,15 @@
 	left bool
 	work roster.Work
 
-	// totals is the last reading of this host's own counts, and changed is
-	// when it last differed.
-	totals  evidence.Counts
-	changed time.Time
+	// totals is the last reading of this host's own counts. Changed is when it
+	// last differed, and worsened when it last held a new bad outcome.
+	totals   evidence.Counts
+	changed  time.Time
+	worsened time.Time
 
 	scopes [scopeCount]measure
 	// zones holds the recent outcomes by the zone of the hosts.
-	zones map[mustardramp.Zone]*sample
+	zones map[mustardramp.Zone]*zoneView
 
 	phase phase
 	// local is true while only this host ejects: its path is bad. It has a
@@ -123,7 +125,7 @@
 		handle:  evidence.HandleOf(b.ID),
 		since:   now,
 		entered: now,
-		zones:   map[mustardramp.Zone]*sample{},
+		zones:   map[mustardramp.Zone]*zoneView{},
 	}
 }
 
@@ -146,6 +148,14 @@
 	return !m.started.IsZero() && now.Sub(m.started) < coldSpan
 }
 
+// reportable reports whether the backend's counts stand in a report.
+func (m *member) reportable(now time.Time, full bool) bool {
+	if full {
+		return !m.changed.IsZero() && now.Sub(m.changed) <= keepRows
+	}
+	return !m.worsened.IsZero() && now.Sub(m.worsened) <= newsSpan
+}
+
 func (m *member) claim() evidence.Claim {
 	return evidence.Claim{Backend: m.handle, Grade: m.grade}
 }
--- a/internal/ejection/pace.go
+++ b/internal/ejection/pace.go
@@ -1,47 +1,128 @@
 package ejection
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/evidence"
 )
 
-// quietInterval is the time between two reports while nothing bad happens.
-const quietInterval = time.Second
+// Spans of time of the reports.
+const (
+	// quietInterval is the time between two full reports.
+	quietInterval = 15 * time.Second
+	// claimInterval is the time between two reports of a host that ejects a
+	// backend or wishes to.
+	claimInterval = 2 * time.Second
+	// newsSpan is how long after its last bad outcome a backend stands in the
+	// reports, so that a lost one loses nothing.
+	newsSpan = time.Second
+)
+
+const (
+	// DefaultBudget is the number of bytes a second that a host's reports may
+	// take on average: with 40 hosts, 4 KB a second reach each of them.
+	DefaultBudget mustardramp.Bytes = 100
+	// burst is the number of bytes that may be saved up.
+	burst = 1200
+	// envelope is the size of a record without its payload.
+	envelope = 48
+)
+
+// pace decides when this host reports.
+type pace struct {
+	// full and spoke are the times of the last full report and of the last
+	// report.
+	full  time.Time
+	spoke time.Time
+	// saved is the number of bytes that may be sent now, as of counted.
+	saved   float64
+	counted time.Time
+}
 
 // Due returns this host's report when it is time to pass one on: at once after
-// a bad outcome or a decision, else once in quietInterval. It is called after
-// the steps of all services, several times a second.
+// a bad outcome or a decision, as far as the budget allows, and in full once in
+// quietInterval. It is called after the steps of all services, several times a
+// second.
 func (e *Ejector) Due(now time.Time) (mustardramp.Record, bool, error) {
-	if !e.due(now) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pace.earn(now, e.budget())
+	full := now.Sub(e.pace.full) >= quietInterval
+	if e.pace.saved <= 0 || !full && !e.news(now) {
 		return mustardramp.Record{}, false, nil
 	}
-	record, err := e.Report(now)
-	return record, err == nil, err
+	record, err := e.record(now, full)
+	if err != nil {
+		return mustardramp.Record{}, false, err
+	}
+	e.pace.spend(now, full, len(record.Payload)+envelope)
+	for _, s := range e.services {
+		s.told = s.digest()
+	}
+	return record, true, nil
 }
 
-func (e *Ejector) due(now time.Time) bool {
+// Report returns this host's evidence and decisions in full.
+func (e *Ejector) Report(now time.Time) (mustardramp.Record, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	news := e.urgent()
-	if !news && now.Sub(e.reported) < quietInterval {
-		return false
+	return e.record(now, true)
+}
+
+// record returns a report: in full, or with the backends that had a bad outcome
+// of late.
+func (e *Ejector) record(now time.Time, full bool) (mustardramp.Record, error) {
+	report := evidence.Report{Place: e.Place}
+	for _, name := range slices.Sorted(maps.Keys(e.services)) {
+		part := e.services[name].report(now, full)
+		if len(part.Rows)+len(part.Ejected)+len(part.Wished) > 0 {
+			report.Services = append(report.Services, part)
+		}
+	}
+	e.sequence++
+	version := mustardramp.Version{Epoch: uint64(e.Incarnation), Sequence: e.sequence}
+	return report.Record(e.Host, version)
+}
+
+func (e *Ejector) budget() mustardramp.Bytes {
+	if e.Budget == 0 {
+		return DefaultBudget
 	}
-	e.reported = now
-	return true
+	return e.Budget
 }
 
-// urgent reports whether a service has news that cannot wait, and takes note
-// of them.
-func (e *Ejector) urgent() bool {
-	var urgent bool
+// news reports whether a service has news that cannot wait, or claims to
+// repeat.
+func (e *Ejector) news(now time.Time) bool {
+	repeat := now.Sub(e.pace.spoke) >= claimInterval
 	for _, s := range e.services {
-		sum := s.digest()
-		urgent = urgent || sum != s.told
-		s.told = sum
+		d := s.digest()
+		if d != s.told || repeat && d.claims != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pace) earn(now time.Time, budget mustardramp.Bytes) {
+	if p.counted.IsZero() {
+		p.counted = now
+		p.saved = burst
+	}
+	earned := now.Sub(p.counted).Seconds() * float64(budget)
+	p.saved = min(p.saved+earned, burst)
+	p.counted = now
+}
+
+func (p *pace) spend(now time.Time, full bool, bytes int) {
+	p.saved -= float64(bytes)
+	p.spoke = now
+	if full {
+		p.full = now
 	}
-	return urgent
 }
 
 // digest sums up what of a report cannot wait.
--- a/internal/ejection/service.go
+++ b/internal/ejection/service.go
@@ -19,6 +19,10 @@
 	// stepped is the time of the last step, and span the time before it.
 	stepped time.Time
 	span    time.Duration
+	// heard is when outcomes of other hosts were first heard, or zero, and
+	// learning how long this host then only learns.
+	heard    time.Time
+	learning time.Duration
 	// rate is the smoothed number of outcomes a second at one backend.
 	rate float64
 	// reach collects the outcomes of this step by scope, in the order of
@@ -106,27 +110,52 @@
 		s.gatherOwn(now, i, tally, own)
 	}
 	for origin, counts := range news {
-		i, ok := places[origin.Backend]
-		if !ok {
-			continue
+		if i, ok := places[origin.Backend]; ok {
+			if s.heard.IsZero() {
+				s.heard = now
+			}
+			s.members[i].hear(now, origin.Zone, counts)
 		}
-		outcomes := sampleOf(counts)
+	}
+	for i := range s.members {
+		s.gatherHeard(i, own)
+	}
+	s.window()
+}
+
+// hear takes in outcomes that another host reported. Bad ones are reported at
+// once and count at once; good ones are reported rarely and count evenly over
+// the time until the next full report.
+func (m *member) hear(now time.Time, zone mustardramp.Zone, counts evidence.Counts) {
+	outcomes := sampleOf(counts)
+	bad := min(outcomes.n, outcomes.bad[failing]+outcomes.bad[slowing])
+	z := m.zone(zone)
+	z.pending += outcomes.n - bad
+	outcomes.n = bad
+	z.heard.add(outcomes)
+	m.note(now, counts)
+}
+
+// gatherHeard adds what other hosts reported of a member to the outcomes of
+// this step.
+func (s *service) gatherHeard(i int, own mustardramp.Zone) {
+	m := s.members[i]
+	part := 1 - decay(s.span, quietInterval)
+	for name, z := range m.zones {
+		outcomes := z.take(part)
+		z.recent.add(outcomes)
 		s.reach[fleetScope][i].add(outcomes)
-		if origin.Zone == own {
+		if name == own {
 			s.reach[zoneScope][i].add(outcomes)
 		}
-		m := s.members[i]
-		m.zone(origin.Zone).add(outcomes)
-		m.note(now, counts)
 	}
-	s.window()
 }
 
 func (s *service) gatherOwn(now time.Time, i int, tally *evidence.Tally, own mustardramp.Zone) {
 	m := s.members[i]
 	fade := decay(s.span, zoneSpan)
 	for _, zone := range m.zones {
-		zone.scale(fade)
+		zone.recent.scale(fade)
 	}
 	totals := tally.Counts(s.name, m.backend.ID)
 	counts, ok := totals.Minus(m.totals)
@@ -135,18 +164,42 @@
 		return
 	}
 	m.changed = now
+	if counts.Failed+counts.Slow > 0 {
+		m.worsened = now
+	}
 	outcomes := sampleOf(counts)
 	for scope := range s.reach {
 		s.reach[scope][i].add(outcomes)
 	}
-	m.zone(own).add(outcomes)
+	m.zone(own).recent.add(outcomes)
 	m.note(now, counts)
 }
 
-func (m *member) zone(name mustardramp.Zone) *sample {
+// zoneView is the outcomes at one backend that the hosts of one zone saw.
+type zoneView struct {
+	// recent is the sum of the outcomes, which fades.
+	recent sample
+	// heard holds what was reported since the last step, and pending the
+	// number of reported good outcomes that do not count yet.
+	heard   sample
+	pending float64
+}
+
+// take returns the outcomes that count at this step, with a part of the
+// pending ones.
+func (z *zoneView) take(part float64) sample {
+	outcomes := z.heard
+	good := part * z.pending
+	outcomes.n += good
+	z.pending -= good
+	z.heard = sample{}
+	return outcomes
+}
+
+func (m *member) zone(name mustardramp.Zone) *zoneView {
 	z := m.zones[name]
 	if z == nil {
-		z = &sample{}
+		z = &zoneView{}
 		m.zones[name] = z
 	}
 	return z
@@ -244,10 +297,10 @@
 }
 
 // report returns this host's part of the evidence and its decisions.
-func (s *service) report(now time.Time) evidence.ServiceReport {
+func (s *service) report(now time.Time, full bool) evidence.ServiceReport {
 	r := evidence.ServiceReport{Service: s.name}
 	for _, m := range s.members {
-		if !m.changed.IsZero() && now.Sub(m.changed) <= keepRows {
+		if m.reportable(now, full) {
 			r.Rows = append(r.Rows, evidence.Row{Backend: m.handle, Counts: m.totals})
 		}
 		switch {
--- a/internal/evidence/fleet.go
+++ b/internal/evidence/fleet.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	// Silence is how long after its last report a host's words still count.
-	Silence = 3 * time.Second
+	// Silence is how long after its last report a host's claims still count.
+	Silence = 6 * time.Second
 	// maxGap is the longest time between two reports of a host whose
-	// difference is evidence of the present.
-	maxGap = 5 * time.Second
+	// difference is evidence of the present. The host counts as one of the
+	// fleet for as long.
+	maxGap = 40 * time.Second
 	// forgetHost is how long after its last report a host is forgotten.
 	forgetHost = time.Minute
 )
@@ -120,14 +121,13 @@
 		if silent > forgetHost {
 			delete(f.sources, host)
 		}
-		if silent > Silence {
-			continue
+		if silent <= maxGap {
+			v.Hosts++
 		}
 		said, ok := from.words[service]
-		if !ok {
+		if !ok || silent > Silence {
 			continue
 		}
-		v.Hosts++
 		v.hear(now, said, linger)
 	}
 	return v
@@ -171,7 +171,7 @@
 func (w words) after(now time.Time, report ServiceReport) words {
 	next := words{ejected: report.Ejected, wished: report.Wished}
 	for h, at := range w.ended {
-		if now.Sub(at) <= Silence {
+		if now.Sub(at) <= maxGap {
 			next.end(h, at)
 		}
 	}
