--- a/internal/exchange/bench_test.go
+++ b/internal/exchange/bench_test.go
@@ -304,6 +304,58 @@
 	}
 }
 
+// BenchmarkNews measures the bytes and the processor time that one piece of news
+// costs each host, beyond an idle fleet in the same run: the command is
+// go test -run xxx -bench News -benchtime 5x ./internal/exchange (one round a
+// second).
+func BenchmarkNews(b *testing.B) {
+	backend := func(i int) mustardramp.Record {
+		return mustardramp.Record{
+			Kind: mustardramp.RecordBackend, Key: fmt.Sprintf("service-%d/10.1.0.1:80", i),
+			Version: mustardramp.Version{Epoch: 1}, Payload: make([]byte, 120),
+		}
+	}
+	contract := func(i int) mustardramp.Record { return contractChange("service", uint64(i+1)) }
+	cases := map[string]struct {
+		record  func(i int) mustardramp.Record
+		perStep int
+	}{
+		"kind=backend/rate=1":  {backend, 1},
+		"kind=backend/rate=10": {backend, 10},
+		"kind=contract/rate=1": {contract, 1},
+	}
+	for _, name := range slices.Sorted(mapKeys(cases)) {
+		for _, count := range []int{20, 40, 80} {
+			b.Run(fmt.Sprintf("%s/hosts=%d", name, count), func(b *testing.B) {
+				benchmarkNews(b, count, cases[name].perStep, cases[name].record)
+			})
+		}
+	}
+}
+
+func benchmarkNews(b *testing.B, count, perStep int, record func(int) mustardramp.Record) {
+	f := startFleet(b, count)
+	measure := func(step func(i int)) (bytes, cpu float64) {
+		sent, used := f.sent(), cpuTime()
+		for i := range b.N {
+			step(i)
+			time.Sleep(time.Second)
+		}
+		return float64(f.sent()-sent) / float64(count), (cpuTime() - used).Seconds() * 1e6 / float64(count)
+	}
+	idleBytes, idleCPU := measure(func(int) {})
+	bytes, cpu := measure(func(i int) {
+		for j := range perStep {
+			f.hosts[(i+j)%count].Offer(record(i*perStep + j))
+		}
+	})
+	news := float64(b.N * perStep)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(idleBytes/float64(b.N), "idle-bytes/s/host")
+	b.ReportMetric((bytes-idleBytes)/news, "bytes/news/host")
+	b.ReportMetric((cpu-idleCPU)/news, "cpu-us/news/host")
+}
+
 // heapBytes returns the bytes of live objects.
 func heapBytes() uint64 {
 	runtime.GC()
--- a/internal/membership/members_test.go
+++ b/internal/membership/members_test.go
@@ -230,3 +230,19 @@
 		})
 	}
 }
+
+// BenchmarkPeers measures the processor time of one choice of peers: the
+// command is go test -run xxx -bench Peers ./internal/membership.
+func BenchmarkPeers(b *testing.B) {
+	for _, count := range []int{40, 640, 6400} {
+		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
+			m := view(b, 0, count, 9)
+			now := start
+			for b.Loop() {
+				now = now.Add(choosePause)
+				m.Step(now)
+				m.Peers(now)
+			}
+		})
+	}
+}
