Give summaries what changes leave, and measure their age

Cause: a model of reports every 500 ms from each host showed them minutes old: bridge hosts passed summaries on across regions only, the unused part of the budget stayed unused, and calls that carried summaries only cost more than the summaries. Change: summaries go over two random links, may use savings above 7/8, and ride on requests at least 750 ms apart.

--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -89,6 +89,7 @@
 	}
 	l.busy, l.failures = false, 0
 	l.soon, l.at = now.Add(batchPause), now.Add(n.budget.pause(now))
+	l.calm = later(l.at, now.Add(summaryPause))
 	l.idle = now.Add(n.jitter(heartbeat))
 	for i, stub := range r.Have {
 		if i < len(resp.Replies) {
@@ -180,7 +181,7 @@
 	l.failures++
 	n.release(l)
 	l.at, l.idle = now.Add(n.jitter(retryPause)), now.Add(heartbeat)
-	l.soon = l.at
+	l.soon, l.calm = l.at, l.at
 	if l.failures >= failuresToClear {
 		l.out.clear()
 		l.fresh = true
--- a/internal/exchange/bench_test.go
+++ b/internal/exchange/bench_test.go
@@ -388,6 +388,61 @@
 	}
 }
 
+// BenchmarkSummaryAge measures, on a virtual clock, how old the newest summary of
+// a host is that each other host holds, while each makes one every 500 ms: the
+// command is go test -run xxx -bench SummaryAge -benchtime 1x ./internal/exchange.
+func BenchmarkSummaryAge(b *testing.B) {
+	for _, length := range []int{100, 400} {
+		for _, count := range []int{10, 40, 80} {
+			b.Run(fmt.Sprintf("bytes=%d/hosts=%d", length, count), func(b *testing.B) {
+				for range b.N {
+					benchmarkSummaryAge(b, length, count)
+				}
+			})
+		}
+	}
+}
+
+func benchmarkSummaryAge(b *testing.B, length, count int) {
+	const pause = 500 * time.Millisecond
+	m := newMesh(b, 1, count)
+	m.run(5 * time.Minute)
+	held := map[direction]uint64{}
+	m.heard = func(host mustardramp.HostName, r mustardramp.Record) {
+		held[direction{host, mustardramp.HostName(r.Key)}] = r.Version.Sequence
+	}
+	const rounds, warmup = 240, 120
+	var ages []float64
+	random := rand.New(rand.NewPCG(1, 1))
+	for round := uint64(1); round <= rounds; round++ {
+		for _, host := range m.names {
+			payload := make([]byte, length)
+			for i := range payload {
+				payload[i] = byte(random.Uint32())
+			}
+			m.offer(host, mustardramp.Record{
+				Kind: mustardramp.RecordEvidence, Key: string(host),
+				Version: mustardramp.Version{Epoch: 1, Sequence: round}, Payload: payload,
+			})
+		}
+		m.run(pause)
+		if round < warmup {
+			continue
+		}
+		for _, host := range m.names {
+			for _, of := range m.names {
+				if host != of {
+					ages = append(ages, float64(round-held[direction{host, of}])*pause.Seconds())
+				}
+			}
+		}
+	}
+	slices.Sort(ages)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(ages[len(ages)/2], "p50-model-s")
+	b.ReportMetric(ages[len(ages)*99/100], "p99-model-s")
+}
+
 // heapBytes returns the bytes of live objects.
 func heapBytes() uint64 {
 	runtime.GC()
--- a/internal/exchange/budget.go
+++ b/internal/exchange/budget.go
@@ -19,6 +19,9 @@
 	burstTime = 256 * time.Second
 	// summaryBurstTime is for how long it saves up bytes for summaries.
 	summaryBurstTime = 4 * time.Second
+	// keptShare is the share of the saved bytes beyond which summaries may use
+	// them too.
+	keptShare = 7.0 / 8
 	// reserveShare is the share of the saved bytes that pages of a catch-up
 	// leave for news.
 	reserveShare = 1.0 / 4
@@ -61,32 +64,44 @@
 
 // force spends bytes that must be sent, if need be in advance.
 func (b *budget) force(now time.Time, n int) {
-	b.spent += mustardramp.Bytes(n)
-	b.news.ReserveN(now, min(n, b.news.Burst()))
+	b.draw(now, b.news, n)
 }
 
 // forNews returns how many bytes may be spent on changes and statements, forSummaries
 // on summaries.
 func (b *budget) forNews(now time.Time) float64 {
-	return max(0, b.news.TokensAt(now)) + b.forSummaries(now)
+	return max(0, b.news.TokensAt(now)) + max(0, b.summaries.TokensAt(now))
 }
 
 func (b *budget) forSummaries(now time.Time) float64 {
-	return max(0, b.summaries.TokensAt(now))
+	return max(0, b.summaries.TokensAt(now)) + b.surplus(now)
+}
+
+// surplus returns the bytes saved up for news beyond what is kept for them:
+// what remains is for summaries.
+func (b *budget) surplus(now time.Time) float64 {
+	return max(0, b.news.TokensAt(now)-keptShare*float64(b.news.Burst()))
 }
 
 // spendNews spends bytes on changes and statements, from the share of the
 // summaries when their own is spent.
 func (b *budget) spendNews(now time.Time, n int) {
-	borrowed := min(max(0, n-int(b.news.TokensAt(now))), int(b.forSummaries(now)))
-	b.spendSummaries(now, borrowed)
-	b.force(now, n-borrowed)
+	borrowed := min(max(0, n-int(b.news.TokensAt(now))), int(max(0, b.summaries.TokensAt(now))))
+	b.draw(now, b.summaries, borrowed)
+	b.draw(now, b.news, n-borrowed)
 }
 
 // spendSummaries spends bytes on summaries.
 func (b *budget) spendSummaries(now time.Time, n int) {
+	own := min(n, int(max(0, b.summaries.TokensAt(now))))
+	b.draw(now, b.summaries, own)
+	b.draw(now, b.news, n-own)
+}
+
+// draw takes bytes from a bucket, if need be in advance.
+func (b *budget) draw(now time.Time, from *rate.Limiter, n int) {
 	b.spent += mustardramp.Bytes(n)
-	b.summaries.ReserveN(now, min(n, b.summaries.Burst()))
+	from.ReserveN(now, min(n, from.Burst()))
 }
 
 // pageBytes returns how many bytes a page of a catch-up may have.
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -37,6 +37,9 @@
 	pushBytes = 384
 	// requestBytes bounds the payloads of one request.
 	requestBytes = 32 << 10
+	// summaryPause is the least time between two requests over a link that carry
+	// summaries only.
+	summaryPause = 750 * time.Millisecond
 	// summaryLinks is the number of links over which a summary is passed on.
 	summaryLinks = 2
 	// failuresToClear is the number of failures in a row after which a link's
@@ -93,9 +96,11 @@
 	// busy is set while a request is under way: there is one at a time.
 	busy bool
 	// soon is when the next request may be made for changes, at when it may be
-	// made for other news, idle when it must be made.
+	// made for statements, calm when it may be made for summaries, idle when it
+	// must be made.
 	soon time.Time
 	at   time.Time
+	calm time.Time
 	idle time.Time
 	// failures counts failed requests in a row.
 	failures int
@@ -179,20 +184,35 @@
 // its source need not send a copy over each link.
 func (n *Node) spread(now time.Time, from mustardramp.HostName, at ref) {
 	r, _ := n.store.get(at)
-	pause := stagger(recordBytes(r))
-	limit := len(n.order)
 	if at.kind >= comparedKinds {
-		limit = summaryLinks
+		n.spreadSummary(from, at)
+		return
+	}
+	var pause time.Duration
+	if !unasked(r) {
+		pause = stagger(recordBytes(r))
 	}
 	picked := 0
 	for _, l := range n.shuffled() {
-		if l.peer.Name != from && picked < limit {
+		if l.peer.Name != from {
 			l.out.put(at, outItem{due: now.Add(time.Duration(picked) * pause)})
 			picked++
 		}
 	}
 }
 
+// spreadSummary lists a summary for some links. A newer one takes the place in
+// the line of the one that it replaces.
+func (n *Node) spreadSummary(from mustardramp.HostName, at ref) {
+	picked := 0
+	for _, i := range n.random.Perm(len(n.order)) {
+		if name := n.order[i]; name != from && picked < summaryLinks {
+			n.links[name].out.put(at, outItem{})
+			picked++
+		}
+	}
+}
+
 // shuffled returns the links in a random order, those to other regions first:
 // few hosts hold one.
 func (n *Node) shuffled() []*peerLink {
@@ -213,11 +233,14 @@
 	return links
 }
 
+// unasked reports whether a record is sent without an offer: a short one or a
+// summary, which would be outdated by the answer.
+func unasked(r mustardramp.Record) bool {
+	return r.Kind >= comparedKinds || recordBytes(r) <= pushBytes
+}
+
 // stagger returns the pause between the links over which a record is offered.
 func stagger(length int) time.Duration {
-	if length <= pushBytes {
-		return 0
-	}
 	return min(maxStagger, offerStagger*time.Duration(1+length/staggerBytes))
 }
 
@@ -242,7 +265,7 @@
 		}
 		// The budget holds the news back.
 		l.at = now.Add(offerPause)
-		l.soon = l.at
+		l.soon, l.calm = l.at, l.at
 		next = earlier(next, l.at)
 	}
 	return sends, next
@@ -250,20 +273,28 @@
 
 // due returns when the link has something to send.
 func (l *peerLink) due() time.Time {
-	earliest := l.at
-	if l.fetch != nil || l.out.holds(mustardramp.RecordChange) {
-		earliest = l.soon
+	if l.fetch != nil {
+		return l.soon
 	}
-	due := l.idle
+	due := later(l.idle, l.at)
 	if first, ok := l.out.next(); ok {
-		due = earlier(due, first)
-	}
-	if l.fetch != nil || due.Before(earliest) {
-		return earliest
+		due = earlier(due, later(first, l.open()))
 	}
 	return due
 }
 
+// open returns when the next request may be made for what is listed.
+func (l *peerLink) open() time.Time {
+	switch {
+	case l.out.holds(mustardramp.RecordChange):
+		return l.soon
+	case l.out.holds(mustardramp.RecordBackend) || l.out.holds(mustardramp.RecordHost):
+		return l.at
+	default:
+		return l.calm
+	}
+}
+
 // request fills a request for the link, or returns nil when it would carry
 // nothing.
 func (n *Node) request(now time.Time, l *peerLink) *Request {
@@ -311,7 +342,7 @@
 			l.out.remove(at)
 			return true
 		}
-		if recordBytes(record) > pushBytes && !item.wanted {
+		if !unasked(record) && !item.wanted {
 			if !load.take(at.kind, stubBytes, 1) {
 				return false
 			}
@@ -421,3 +452,10 @@
 	}
 	return a
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
