--- a/internal/exchange/bench_test.go
+++ b/internal/exchange/bench_test.go
@@ -78,6 +78,17 @@
 	return sum
 }
 
+// charged sums the bytes that the hosts' budgets were charged with.
+func (f *loopback) charged() mustardramp.Bytes {
+	var sum mustardramp.Bytes
+	for _, e := range f.hosts {
+		e.mu.Lock()
+		sum += e.core.Node.Spent()
+		e.mu.Unlock()
+	}
+	return sum
+}
+
 // crossed sums the bytes that travelled across regions.
 func (f *loopback) crossed() mustardramp.Bytes {
 	var sum mustardramp.Bytes
@@ -269,7 +280,7 @@
 func benchmarkSteady(b *testing.B, count int, busy bool) {
 	before := heapBytes()
 	f := startFleet(b, count)
-	sent, crossed, cpu := f.sent(), f.crossed(), cpuTime()
+	sent, charged, crossed, cpu := f.sent(), f.charged(), f.crossed(), cpuTime()
 	begin := time.Now()
 	b.ResetTimer()
 	for i := range b.N {
@@ -282,6 +293,7 @@
 	perHost := float64(count) * time.Since(begin).Seconds()
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(float64(f.sent()-sent)/perHost, "bytes/s/host")
+	b.ReportMetric(float64(f.charged()-charged)/float64(f.sent()-sent), "charged/sent")
 	b.ReportMetric(float64(f.crossed()-crossed)/time.Since(begin).Seconds(), "crossing-bytes/s")
 	b.ReportMetric((cpuTime()-cpu).Seconds()*100/perHost, "%core/host")
 	b.ReportMetric(float64(heapBytes()-before)/float64(count)/1024, "KB/host")
--- a/internal/exchange/node_test.go
+++ b/internal/exchange/node_test.go
@@ -190,7 +190,7 @@
 func TestBudgetBoundsTheBytes(t *testing.T) {
 	m := newMesh(t, 1, 20)
 	m.run(time.Second)
-	summary := make([]byte, 300)
+	summary := change("", 1, 3000).Payload
 	inForce := 0
 	m.heard = func(_ mustardramp.HostName, r mustardramp.Record) {
 		if r.Kind == mustardramp.RecordChange {
