--- a/internal/ejection/detection_test.go
+++ b/internal/ejection/detection_test.go
@@ -224,3 +224,16 @@
 		}
 	}
 }
+
+// All hosts avoid a backend that fails all within a second, in each of twenty
+// trials of the smallest service.
+func TestTotalFailureQuantile(t *testing.T) {
+	const trials = 20
+	for i := range uint64(trials) {
+		seed := *trialSeed + i
+		f := faults["fails all"]
+		if got := detect(seed, deployments["dhwani"], f).all; got > f.within {
+			t.Errorf("seed %d: got %s, want at most %s", seed, got, f.within)
+		}
+	}
+}
