Earn retries by served requests, and answer a publisher once copies exist

Cause: requests turned away in a flood earned retries; a change accepted just before all control hosts stopped could reach no entry host.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -168,9 +168,6 @@
 // attempts dispatches the request until a backend's answer was relayed or no
 // further attempt is allowed.
 func (x *exchange) attempts() *mustardramp.Denial {
-	if x.service.Budget != nil {
-		x.service.Budget.Fresh(x.route.Rank, x.h.config.Clock.Now())
-	}
 	var last *outcome
 	send := x.dispatch
 	if hedge := x.hedge(); hedge != nil {
@@ -184,6 +181,10 @@
 		if err != nil {
 			return x.conclude(last, x.turnedAway(err))
 		}
+		if last == nil && x.service.Budget != nil {
+			// A request that is turned away earns no retries.
+			x.service.Budget.Fresh(x.route.Rank, x.h.config.Clock.Now())
+		}
 		last = send(slot)
 		send = x.dispatch
 		if last.relayed {
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -117,9 +117,9 @@
 }
 
 // fakeBudget allows a number of further attempts.
-type fakeBudget struct{ left atomic.Int64 }
+type fakeBudget struct{ left, fresh atomic.Int64 }
 
-func (b *fakeBudget) Fresh(mustardramp.Rank, time.Time) {}
+func (b *fakeBudget) Fresh(mustardramp.Rank, time.Time) { b.fresh.Add(1) }
 
 func (b *fakeBudget) Allow(mustardramp.Rank, time.Time) bool { return b.left.Add(-1) >= 0 }
 
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -87,7 +87,7 @@
 		}
 	}
 	log := c.groups[0].log
-	c.desk = registry.Desk{State: &c.state, Log: log, Homes: placement.Regions(c.config.Control)}
+	c.desk = registry.Desk{State: &c.state, Log: log, Homes: placement.Regions(c.config.Control), Copied: c.copied}
 	c.desk.Serve(&c.server.Router)
 	c.exchange = exchange.New(&c.server.Router, exchange.Options{
 		Self:  c.config.self(membership.Control, c.Link(), c.Admin(), c.incarnation),
@@ -140,6 +140,31 @@
 	c.exchange.OfferAll(records)
 }
 
+// changeCopies is the number of entry hosts that hold a change before its
+// publisher is answered.
+const changeCopies = 2
+
+// copied waits until some entry hosts hold the entries. A fleet with fewer
+// entry hosts waits for those that it has.
+func (c *Control) copied(ctx context.Context, entries []registry.Entry) error {
+	hosts := 0
+	for _, m := range c.exchange.Members() {
+		if m.Host.Role == membership.Entry && m.Standing <= membership.Suspect {
+			hosts++
+		}
+	}
+	for _, e := range entries {
+		record, err := e.Record()
+		if err != nil {
+			return err
+		}
+		if err := c.exchange.WaitCopies(ctx, record, min(changeCopies, hosts)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // index returns the log index of the newest change that this host applied.
 func (c *Control) index() mustardramp.Index {
 	var newest mustardramp.Index
--- a/internal/registry/desk.go
+++ b/internal/registry/desk.go
@@ -5,6 +5,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/pkg/contract"
@@ -19,8 +22,15 @@
 	// Homes lists the regions that have a ledger; a contract with another home
 	// region is a fault. Empty means that any region will do.
 	Homes []mustardramp.Region
+	// Copied returns once some entry hosts hold the entries of an accepted
+	// change, so that it spreads further even if all control hosts are lost.
+	// Nil waits for nobody.
+	Copied func(ctx context.Context, entries []Entry) error
 }
 
+// copyTimeout bounds the wait for the first copies of an accepted change.
+const copyTimeout = time.Second
+
 // Check reports every fault in files, also against the contracts in force.
 func (d *Desk) Check(ctx context.Context, files []File) (contract.Faults, error) {
 	if err := d.Log.Confirm(ctx); err != nil {
@@ -69,7 +79,35 @@
 	if err != nil {
 		return Result{}, err
 	}
-	return DecodeResult(result)
+	decoded, err := DecodeResult(result)
+	if err == nil && decoded.Change != nil {
+		d.awaitCopies(ctx, decoded.Change)
+	}
+	return decoded, err
+}
+
+// awaitCopies waits for copies of a change. The change is in force whether they
+// are confirmed or not.
+func (d *Desk) awaitCopies(ctx context.Context, change *Change) {
+	if d.Copied == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	// This host may not have applied the change yet.
+	if err := d.Log.Confirm(ctx); err != nil {
+		klog.InfoS("change-copies-unconfirmed", "change", change.ID, "index", change.Index, "cause", err)
+		return
+	}
+	var entries []Entry
+	for _, s := range change.Services {
+		if e, ok := d.State.Entry(s.Service, s.Revision); ok {
+			entries = append(entries, e)
+		}
+	}
+	if err := d.Copied(ctx, entries); err != nil {
+		klog.InfoS("change-copies-unconfirmed", "change", change.ID, "index", change.Index, "cause", err)
+	}
 }
 
 // InForce lists the entries in force as this host knows them.
