--- a/internal/fleet/detection_bench_test.go
+++ b/internal/fleet/detection_bench_test.go
@@ -19,8 +19,9 @@
 const (
 	// perBackend is the rate of requests for each backend, per second.
 	perBackend = 20
-	// settleTime is the time for ramps and levels before a fault begins.
-	settleTime = 12 * time.Second
+	// settleTime is the time for ramps, levels and the pause of the shared test
+	// after a start of the whole fleet.
+	settleTime = 60 * time.Second
 	// detectionLimit ends a run in which the fault is not detected.
 	detectionLimit = 20 * time.Second
 	standingPause  = 10 * time.Millisecond
--- /dev/null
+++ b/internal/host/assemble.go
@@ -0,0 +1,127 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/admin"
+	"github.com/mustardramp/mustardramp/internal/announcement"
+	"github.com/mustardramp/mustardramp/internal/ejection"
+	"github.com/mustardramp/mustardramp/internal/entry"
+	"github.com/mustardramp/mustardramp/internal/exchange"
+	"github.com/mustardramp/mustardramp/internal/lease"
+	"github.com/mustardramp/mustardramp/internal/ledger"
+	"github.com/mustardramp/mustardramp/internal/link"
+	"github.com/mustardramp/mustardramp/internal/membership"
+	"github.com/mustardramp/mustardramp/internal/registry"
+	"github.com/mustardramp/mustardramp/pkg/announce"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+func (e *Entry) assemble() {
+	config := &e.config
+	e.links.tls = e.secrets.linkClient
+	e.server.TLS = e.secrets.linkServer
+	e.refusals.Limit = config.RefusalBytes
+	e.tally.Clock = e.clock
+	e.services.holder = lease.Holder{Host: config.Name, Incarnation: e.incarnation}
+	e.services.place, e.services.clock, e.services.peers = config.Place, e.clock, &e.network
+	e.network.Find = e.links.address
+	e.network.New = func(address netip.AddrPort) *link.Client {
+		return &link.Client{Address: address, TLS: e.secrets.linkClient}
+	}
+	e.contracts.Remote = &registry.Remote{Hosts: config.callers(e.secrets.linkClient)}
+	e.contracts.Changed = e.services.apply
+	e.ejector = ejection.New(config.Name, e.incarnation, config.Place)
+	e.ejector.Terms = e.terms
+	e.ejector.Left = e.left
+	e.exchange = exchange.New(&e.server.Router, exchange.Options{
+		Self:  config.self(membership.Entry, e.Link(), e.Admin(), e.incarnation),
+		Seeds: config.seeds(),
+		TLS:   e.secrets.linkClient,
+		Clock: config.Clock,
+	})
+	e.roster.Pass = e.exchange.Offer
+	e.roster.Floor = func(s mustardramp.ServiceName) mustardramp.Percent { return e.terms(s).Floor }
+	e.ledger = ledger.NewClient(config.Name, e.incarnation, config.ledgerHomes(e.secrets.linkClient))
+	e.handler = entry.New(entry.Config{
+		Host:         config.Name,
+		Incarnation:  e.incarnation,
+		Contracts:    e.current,
+		Services:     &e.services,
+		Ledger:       e.ledger,
+		Observer:     e.ejector,
+		Watcher:      e.ejector,
+		Tally:        &measured{Tally: &e.tally, services: &e.services},
+		Clock:        e.clock,
+		Refusals:     &e.refusals,
+		CallerHeader: config.CallerHeader,
+	})
+	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.secrets.traffic)
+	e.answerHosts()
+}
+
+// answerHosts answers the calls of other hosts.
+func (e *Entry) answerHosts() {
+	lease.Serve(&e.server.Router, func(name mustardramp.ServiceName) *lease.Pool {
+		if r := e.services.running(name); r != nil {
+			return r.pool
+		}
+		return nil
+	})
+	link.Handle(&e.server.Router, methodState, func(context.Context, struct{}) (hostState, error) {
+		return hostState{Index: e.contracts.Index(), Ready: e.ready.Load()}, nil
+	})
+}
+
+// current returns the contracts in force, or nil while the host does not know
+// a current configuration.
+func (e *Entry) current() *contract.Set {
+	if !e.ready.Load() {
+		return nil
+	}
+	return e.contracts.Set()
+}
+
+func (e *Entry) terms(service mustardramp.ServiceName) ejection.Terms {
+	if c := e.contracts.Set().Service(service); c != nil {
+		return ejection.Terms{Floor: c.Floor, Caution: c.Caution}
+	}
+	return ejection.Terms{Floor: contract.DefaultFloor, Caution: contract.DefaultCaution}
+}
+
+// left takes in a backend's own word that it leaves.
+func (e *Entry) left(o mustardramp.Observation) {
+	if err := e.roster.Leave(e.clock.Now(), o.Backend, o.At.Add(-o.Latency)); err != nil {
+		klog.V(1).InfoS("leaving-not-noted", "backend", o.Backend, "cause", err)
+	}
+}
+
+func (e *Entry) announcements() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(announce.Path, announcement.New(announcement.Config{
+		Roster:    &e.roster,
+		Contracts: e.contracts.Set,
+		Clock:     e.clock,
+		Tokens:    []string{e.config.AnnounceToken},
+	}))
+	mux.HandleFunc(ReadyPath, e.traffic.Readiness)
+	return mux
+}
+
+func (e *Entry) administration() http.Handler {
+	return admin.New(admin.Config{
+		Host:      e.config.Name,
+		Token:     e.config.AdminToken,
+		Clock:     e.clock,
+		Contracts: &e.contracts,
+		Refusals:  &e.refusals,
+		Fleet:     &entryView{e},
+		Ledger:    ledgerView{e.ledger},
+		Dial:      dialAdmin(e.config.AdminTLS),
+	})
+}
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -12,7 +12,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
-	fleetapi "github.com/mustardramp/mustardramp/gen/fleet"
 	"github.com/mustardramp/mustardramp/internal/admin"
 	"github.com/mustardramp/mustardramp/internal/exchange"
 	"github.com/mustardramp/mustardramp/internal/ledger"
@@ -234,53 +233,3 @@
 		Dial:      dialAdmin(c.config.AdminTLS),
 	})
 }
-
-// controlView is a control host's view of the fleet.
-type controlView struct{ *Control }
-
-// Status implements admin.Fleet.
-func (v *controlView) Status() *fleetapi.FleetStatus {
-	self := &fleetapi.Host{
-		Name: string(v.config.Name), Role: "control", Zone: string(v.config.Place.Zone), Region: string(v.config.Place.Region),
-		State: membership.Alive.String(), Index: uint64(v.index()), Admin: v.Control.Admin().String(), Incarnation: uint64(v.incarnation),
-	}
-	return &fleetapi.FleetStatus{
-		Host:     self.Name,
-		At:       v.clock.Now().UTC().Format(time.RFC3339),
-		Index:    self.Index,
-		Hosts:    hostsOf(self, v.exchange.Members(), &v.links),
-		Services: []*fleetapi.ServiceStatus{},
-		Ranks:    []*fleetapi.RankStatus{},
-		Groups:   v.groupStatus(),
-		Links:    linksOf(v.exchange),
-	}
-}
-
-func (v *controlView) groupStatus() []*fleetapi.GroupStatus {
-	out := make([]*fleetapi.GroupStatus, len(v.groups))
-	for i, g := range v.groups {
-		out[i] = g.status()
-	}
-	return out
-}
-
-// Backends implements admin.Fleet; a control host keeps none.
-func (*controlView) Backends(string) []*fleetapi.BackendStanding {
-	return []*fleetapi.BackendStanding{}
-}
-
-// Histograms implements admin.Fleet; a control host takes no traffic.
-func (*controlView) Histograms(string) []*fleetapi.Histogram {
-	return []*fleetapi.Histogram{}
-}
-
-// Drain implements admin.Fleet.
-func (v *controlView) Drain(_, _ string) {
-	v.drainOnce.Do(func() { close(v.drained) })
-}
-
-// Admin implements admin.Fleet.
-func (v *controlView) Admin(host mustardramp.HostName) (string, bool) {
-	address, ok := v.links.admin(host)
-	return address.String(), ok
-}
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -1,33 +1,22 @@
 package host
 
 import (
-	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-	"k8s.io/klog/v2"
-
 	"github.com/mustardramp/mustardramp"
-	"github.com/mustardramp/mustardramp/internal/admin"
-	"github.com/mustardramp/mustardramp/internal/announcement"
 	"github.com/mustardramp/mustardramp/internal/ejection"
 	"github.com/mustardramp/mustardramp/internal/entry"
 	"github.com/mustardramp/mustardramp/internal/exchange"
 	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/ledger"
 	"github.com/mustardramp/mustardramp/internal/link"
-	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/refusal"
-	"github.com/mustardramp/mustardramp/internal/registry"
 	"github.com/mustardramp/mustardramp/internal/roster"
 	"github.com/mustardramp/mustardramp/internal/tally"
-	"github.com/mustardramp/mustardramp/pkg/announce"
-	"github.com/mustardramp/mustardramp/pkg/contract"
 )
 
 // ReadyPath is where a balancer asks an entry host for its readiness, at the
@@ -122,85 +111,6 @@
 	return nil
 }
 
-func (e *Entry) assemble() {
-	config := &e.config
-	e.links.tls = e.secrets.linkClient
-	e.server.TLS = e.secrets.linkServer
-	e.refusals.Limit = config.RefusalBytes
-	e.tally.Clock = e.clock
-	e.services.holder = lease.Holder{Host: config.Name, Incarnation: e.incarnation}
-	e.services.place, e.services.clock, e.services.peers = config.Place, e.clock, &e.network
-	e.network.Find = e.links.address
-	e.network.New = func(address netip.AddrPort) *link.Client {
-		return &link.Client{Address: address, TLS: e.secrets.linkClient}
-	}
-	e.contracts.Remote = &registry.Remote{Hosts: config.callers(e.secrets.linkClient)}
-	e.contracts.Changed = e.services.apply
-	e.ejector = ejection.New(config.Name, e.incarnation, config.Place)
-	e.ejector.Terms = e.terms
-	e.ejector.Left = e.left
-	e.exchange = exchange.New(&e.server.Router, exchange.Options{
-		Self:  config.self(membership.Entry, e.Link(), e.Admin(), e.incarnation),
-		Seeds: config.seeds(),
-		TLS:   e.secrets.linkClient,
-		Clock: config.Clock,
-	})
-	e.roster.Pass = e.exchange.Offer
-	e.roster.Floor = func(s mustardramp.ServiceName) mustardramp.Percent { return e.terms(s).Floor }
-	e.ledger = ledger.NewClient(config.Name, e.incarnation, config.ledgerHomes(e.secrets.linkClient))
-	e.handler = entry.New(entry.Config{
-		Host:         config.Name,
-		Incarnation:  e.incarnation,
-		Contracts:    e.current,
-		Services:     &e.services,
-		Ledger:       e.ledger,
-		Observer:     e.ejector,
-		Watcher:      e.ejector,
-		Tally:        &measured{Tally: &e.tally, services: &e.services},
-		Clock:        e.clock,
-		Refusals:     &e.refusals,
-		CallerHeader: config.CallerHeader,
-	})
-	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.secrets.traffic)
-	e.answerHosts()
-}
-
-// answerHosts answers the calls of other hosts.
-func (e *Entry) answerHosts() {
-	lease.Serve(&e.server.Router, func(name mustardramp.ServiceName) *lease.Pool {
-		if r := e.services.running(name); r != nil {
-			return r.pool
-		}
-		return nil
-	})
-	link.Handle(&e.server.Router, methodState, func(context.Context, struct{}) (hostState, error) {
-		return hostState{Index: e.contracts.Index(), Ready: e.ready.Load()}, nil
-	})
-}
-
-// current returns the contracts in force, or nil while the host does not know
-// a current configuration.
-func (e *Entry) current() *contract.Set {
-	if !e.ready.Load() {
-		return nil
-	}
-	return e.contracts.Set()
-}
-
-func (e *Entry) terms(service mustardramp.ServiceName) ejection.Terms {
-	if c := e.contracts.Set().Service(service); c != nil {
-		return ejection.Terms{Floor: c.Floor, Caution: c.Caution}
-	}
-	return ejection.Terms{Floor: contract.DefaultFloor, Caution: contract.DefaultCaution}
-}
-
-// left takes in a backend's own word that it leaves.
-func (e *Entry) left(o mustardramp.Observation) {
-	if err := e.roster.Leave(e.clock.Now(), o.Backend, o.At.Add(-o.Latency)); err != nil {
-		klog.V(1).InfoS("leaving-not-noted", "backend", o.Backend, "cause", err)
-	}
-}
-
 // Traffic returns the address for callers.
 func (e *Entry) Traffic() netip.AddrPort {
 	return addressOf(e.trafficListener)
@@ -270,152 +180,3 @@
 	}
 	return false
 }
-
-// Run serves until the context ends or the host is drained, and then until the
-// requests in flight have ended. The end of cut ends them at once.
-func (e *Entry) Run(ctx, cut context.Context) error {
-	klog.InfoS("entry-started", "host", e.config.Name, "traffic", e.Traffic(), "announce", e.Announce(),
-		"admin", e.Admin(), "link", e.Link())
-	inner, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	group, inner := errgroup.WithContext(inner)
-	e.watch()
-	group.Go(func() error { return e.server.Serve(inner, e.linkListener) })
-	group.Go(func() error { return e.exchange.Run(inner) })
-	group.Go(func() error { return e.ledger.Run(inner) })
-	group.Go(func() error { return every(inner, stepPause, e.step) })
-	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
-	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
-	group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
-	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.secrets.admin, e.administration()) })
-	group.Go(func() error { return e.traffic.Serve(e.trafficListener) })
-	group.Go(func() error {
-		defer end()
-		return e.stop(ctx, inner, cut)
-	})
-	err := group.Wait()
-	e.links.close()
-	// Peers that stopped first have closed their connections already.
-	_ = e.network.Close()
-	return err
-}
-
-// stop waits for the end and stops the traffic gracefully, while the rest of
-// the host goes on.
-func (e *Entry) stop(ctx, inner, cut context.Context) error {
-	select {
-	case <-ctx.Done():
-	case <-e.drained:
-	case <-inner.Done():
-	}
-	e.exchange.Drain()
-	return e.traffic.Stop(cut)
-}
-
-// watch takes in what other hosts spread.
-func (e *Entry) watch() {
-	e.exchange.Watch(mustardramp.RecordChange, e.contracts.Merge)
-	e.exchange.Watch(mustardramp.RecordBackend, func(r mustardramp.Record) {
-		if err := e.roster.Merge(e.clock.Now(), r); err != nil {
-			klog.ErrorS(err, "backend-record-refused", "key", r.Key)
-		}
-	})
-	e.exchange.Watch(mustardramp.RecordEvidence, func(r mustardramp.Record) {
-		if err := e.ejector.Merge(e.clock.Now(), r); err != nil {
-			klog.ErrorS(err, "evidence-refused", "key", r.Key)
-		}
-	})
-	e.exchange.Watch(mustardramp.RecordPressure, e.learnPressure)
-}
-
-// step takes up the present members and decides the standings of all backends.
-func (e *Entry) step() {
-	if !e.ready.Load() && e.exchange.Ready() {
-		e.ready.Store(true)
-	}
-	members := e.exchange.Members()
-	e.links.set(members)
-	e.services.setHosts(e.liveEntryHosts(members))
-	now := e.clock.Now()
-	if err := e.roster.Expire(now, e.ejector.Work); err != nil {
-		klog.ErrorS(err, "roster-not-expired")
-	}
-	for name, r := range e.services.all() {
-		r.update(e.ejector.Step(now, name, e.roster.View(name)))
-	}
-	e.report()
-}
-
-func (e *Entry) liveEntryHosts(members []membership.Member) []lease.Host {
-	hosts := []lease.Host{{Name: e.config.Name, Place: e.config.Place}}
-	for _, m := range members {
-		if m.Host.Role == membership.Entry && m.Standing <= membership.Suspect {
-			hosts = append(hosts, lease.Host{Name: m.Host.Name, Place: m.Host.Place})
-		}
-	}
-	return hosts
-}
-
-// report spreads this host's evidence when it is due.
-func (e *Entry) report() {
-	record, due, err := e.ejector.Due(e.clock.Now())
-	if err != nil {
-		klog.ErrorS(err, "evidence-not-reported")
-	}
-	if due {
-		e.exchange.Offer(record)
-	}
-}
-
-// reportPressure spreads the lengths of the queues that this host keeps.
-func (e *Entry) reportPressure() {
-	for name, r := range e.services.all() {
-		records, err := r.pool.Pressure()
-		if err != nil {
-			klog.ErrorS(err, "pressure-not-reported", "service", name)
-			continue
-		}
-		e.exchange.OfferAll(records)
-	}
-}
-
-// learnPressure takes in the lengths of queues that another host keeps.
-func (e *Entry) learnPressure(record mustardramp.Record) {
-	pressure, err := lease.DecodePressure(record)
-	if err != nil {
-		klog.ErrorS(err, "pressure-refused", "key", record.Key)
-		return
-	}
-	r := e.services.running(pressure.Service)
-	if r == nil {
-		return
-	}
-	if err := r.pool.Learn(record); err != nil {
-		klog.ErrorS(err, "pressure-refused", "key", record.Key)
-	}
-}
-
-func (e *Entry) announcements() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(announce.Path, announcement.New(announcement.Config{
-		Roster:    &e.roster,
-		Contracts: e.contracts.Set,
-		Clock:     e.clock,
-		Tokens:    []string{e.config.AnnounceToken},
-	}))
-	mux.HandleFunc(ReadyPath, e.traffic.Readiness)
-	return mux
-}
-
-func (e *Entry) administration() http.Handler {
-	return admin.New(admin.Config{
-		Host:      e.config.Name,
-		Token:     e.config.AdminToken,
-		Clock:     e.clock,
-		Contracts: &e.contracts,
-		Refusals:  &e.refusals,
-		Fleet:     &entryView{e},
-		Ledger:    ledgerView{e.ledger},
-		Dial:      dialAdmin(e.config.AdminTLS),
-	})
-}
--- /dev/null
+++ b/internal/host/run.go
@@ -0,0 +1,136 @@
+package host
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/lease"
+	"github.com/mustardramp/mustardramp/internal/membership"
+)
+
+// Run serves until the context ends or the host is drained, and then until the
+// requests in flight have ended. The end of cut ends them at once.
+func (e *Entry) Run(ctx, cut context.Context) error {
+	klog.InfoS("entry-started", "host", e.config.Name, "traffic", e.Traffic(), "announce", e.Announce(),
+		"admin", e.Admin(), "link", e.Link())
+	inner, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, inner := errgroup.WithContext(inner)
+	e.watch()
+	group.Go(func() error { return e.server.Serve(inner, e.linkListener) })
+	group.Go(func() error { return e.exchange.Run(inner) })
+	group.Go(func() error { return e.ledger.Run(inner) })
+	group.Go(func() error { return every(inner, stepPause, e.step) })
+	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
+	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
+	group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
+	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.secrets.admin, e.administration()) })
+	group.Go(func() error { return e.traffic.Serve(e.trafficListener) })
+	group.Go(func() error {
+		defer end()
+		return e.stop(ctx, inner, cut)
+	})
+	err := group.Wait()
+	e.links.close()
+	// Peers that stopped first have closed their connections already.
+	_ = e.network.Close()
+	return err
+}
+
+// stop waits for the end and stops the traffic gracefully, while the rest of
+// the host goes on.
+func (e *Entry) stop(ctx, inner, cut context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-e.drained:
+	case <-inner.Done():
+	}
+	e.exchange.Drain()
+	return e.traffic.Stop(cut)
+}
+
+// watch takes in what other hosts spread.
+func (e *Entry) watch() {
+	e.exchange.Watch(mustardramp.RecordChange, e.contracts.Merge)
+	e.exchange.Watch(mustardramp.RecordBackend, func(r mustardramp.Record) {
+		if err := e.roster.Merge(e.clock.Now(), r); err != nil {
+			klog.ErrorS(err, "backend-record-refused", "key", r.Key)
+		}
+	})
+	e.exchange.Watch(mustardramp.RecordEvidence, func(r mustardramp.Record) {
+		if err := e.ejector.Merge(e.clock.Now(), r); err != nil {
+			klog.ErrorS(err, "evidence-refused", "key", r.Key)
+		}
+	})
+	e.exchange.Watch(mustardramp.RecordPressure, e.learnPressure)
+}
+
+// step takes up the present members and decides the standings of all backends.
+func (e *Entry) step() {
+	if !e.ready.Load() && e.exchange.Ready() {
+		e.ready.Store(true)
+	}
+	members := e.exchange.Members()
+	e.links.set(members)
+	e.services.setHosts(e.liveEntryHosts(members))
+	now := e.clock.Now()
+	if err := e.roster.Expire(now, e.ejector.Work); err != nil {
+		klog.ErrorS(err, "roster-not-expired")
+	}
+	for name, r := range e.services.all() {
+		r.update(e.ejector.Step(now, name, e.roster.View(name)))
+	}
+	e.report()
+}
+
+func (e *Entry) liveEntryHosts(members []membership.Member) []lease.Host {
+	hosts := []lease.Host{{Name: e.config.Name, Place: e.config.Place}}
+	for _, m := range members {
+		if m.Host.Role == membership.Entry && m.Standing <= membership.Suspect {
+			hosts = append(hosts, lease.Host{Name: m.Host.Name, Place: m.Host.Place})
+		}
+	}
+	return hosts
+}
+
+// report spreads this host's evidence when it is due.
+func (e *Entry) report() {
+	record, due, err := e.ejector.Due(e.clock.Now())
+	if err != nil {
+		klog.ErrorS(err, "evidence-not-reported")
+	}
+	if due {
+		e.exchange.Offer(record)
+	}
+}
+
+// reportPressure spreads the lengths of the queues that this host keeps.
+func (e *Entry) reportPressure() {
+	for name, r := range e.services.all() {
+		records, err := r.pool.Pressure()
+		if err != nil {
+			klog.ErrorS(err, "pressure-not-reported", "service", name)
+			continue
+		}
+		e.exchange.OfferAll(records)
+	}
+}
+
+// learnPressure takes in the lengths of queues that another host keeps.
+func (e *Entry) learnPressure(record mustardramp.Record) {
+	pressure, err := lease.DecodePressure(record)
+	if err != nil {
+		klog.ErrorS(err, "pressure-refused", "key", record.Key)
+		return
+	}
+	r := e.services.running(pressure.Service)
+	if r == nil {
+		return
+	}
+	if err := r.pool.Learn(record); err != nil {
+		klog.ErrorS(err, "pressure-refused", "key", record.Key)
+	}
+}
