--- a/pkg/cmd/backend/try/try.go
+++ b/pkg/cmd/backend/try/try.go
@@ -106,7 +106,9 @@
 	timer := time.NewTimer(leavePause)
 	defer timer.Stop()
 	<-timer.C
-	return errors.Join(server.Shutdown(ctx), announcer.Gone(ctx))
+	err := server.Shutdown(ctx)
+	o.report(announcer.Gone(ctx))
+	return err
 }
 
 func (o *Options) report(err error) {
