--- a/gen/http/ledger/client/types.go
+++ b/gen/http/ledger/client/types.go
@@ -55,6 +55,150 @@
 	At     *string `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
 }
 
+// ShowUnauthorizedResponseBody is the type of the "ledger" service "show"
+// endpoint HTTP response body for the "unauthorized" error.
+type ShowUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ShowNotFoundResponseBody is the type of the "ledger" service "show" endpoint
+// HTTP response body for the "not_found" error.
+type ShowNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ShowInvalidResponseBody is the type of the "ledger" service "show" endpoint
+// HTTP response body for the "invalid" error.
+type ShowInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ShowUnavailableResponseBody is the type of the "ledger" service "show"
+// endpoint HTTP response body for the "unavailable" error.
+type ShowUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SettleUnauthorizedResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "unauthorized" error.
+type SettleUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SettleNotFoundResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "not_found" error.
+type SettleNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SettleInvalidResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "invalid" error.
+type SettleInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// SettleUnavailableResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "unavailable" error.
+type SettleUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // NewSettleRequestBody builds the HTTP request body from the payload of the
 // "settle" endpoint of the "ledger" service.
 func NewSettleRequestBody(p *ledger.SettlePayload) *SettleRequestBody {
@@ -86,6 +230,62 @@
 	return v
 }
 
+// NewShowUnauthorized builds a ledger service show endpoint unauthorized error.
+func NewShowUnauthorized(body *ShowUnauthorizedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewShowNotFound builds a ledger service show endpoint not_found error.
+func NewShowNotFound(body *ShowNotFoundResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewShowInvalid builds a ledger service show endpoint invalid error.
+func NewShowInvalid(body *ShowInvalidResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewShowUnavailable builds a ledger service show endpoint unavailable error.
+func NewShowUnavailable(body *ShowUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewSettleLedgerEntryOK builds a "ledger" service "settle" endpoint result
 // from a HTTP "OK" response.
 func NewSettleLedgerEntryOK(body *SettleResponseBody) *ledger.LedgerEntry {
@@ -103,6 +303,64 @@
 	return v
 }
 
+// NewSettleUnauthorized builds a ledger service settle endpoint unauthorized
+// error.
+func NewSettleUnauthorized(body *SettleUnauthorizedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewSettleNotFound builds a ledger service settle endpoint not_found error.
+func NewSettleNotFound(body *SettleNotFoundResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewSettleInvalid builds a ledger service settle endpoint invalid error.
+func NewSettleInvalid(body *SettleInvalidResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewSettleUnavailable builds a ledger service settle endpoint unavailable
+// error.
+func NewSettleUnavailable(body *SettleUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // ValidateShowResponseBody runs the validations defined on ShowResponseBody
 func ValidateShowResponseBody(body *ShowResponseBody) (err error) {
 	if body.Service == nil {
@@ -142,3 +400,195 @@
 	}
 	return
 }
+
+// ValidateShowUnauthorizedResponseBody runs the validations defined on
+// show_unauthorized_response_body
+func ValidateShowUnauthorizedResponseBody(body *ShowUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateShowNotFoundResponseBody runs the validations defined on
+// show_not_found_response_body
+func ValidateShowNotFoundResponseBody(body *ShowNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateShowInvalidResponseBody runs the validations defined on
+// show_invalid_response_body
+func ValidateShowInvalidResponseBody(body *ShowInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateShowUnavailableResponseBody runs the validations defined on
+// show_unavailable_response_body
+func ValidateShowUnavailableResponseBody(body *ShowUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSettleUnauthorizedResponseBody runs the validations defined on
+// settle_unauthorized_response_body
+func ValidateSettleUnauthorizedResponseBody(body *SettleUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSettleNotFoundResponseBody runs the validations defined on
+// settle_not_found_response_body
+func ValidateSettleNotFoundResponseBody(body *SettleNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSettleInvalidResponseBody runs the validations defined on
+// settle_invalid_response_body
+func ValidateSettleInvalidResponseBody(body *SettleInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateSettleUnavailableResponseBody runs the validations defined on
+// settle_unavailable_response_body
+func ValidateSettleUnavailableResponseBody(body *SettleUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
--- a/gen/http/ledger/server/encode_decode.go
+++ b/gen/http/ledger/server/encode_decode.go
@@ -76,6 +76,74 @@
 	}
 }
 
+// EncodeShowError returns an encoder for errors returned by the show ledger
+// endpoint.
+func EncodeShowError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "invalid":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeSettleResponse returns an encoder for responses returned by the ledger
 // settle endpoint.
 func EncodeSettleResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -132,3 +200,71 @@
 		return payload, nil
 	}
 }
+
+// EncodeSettleError returns an encoder for errors returned by the settle
+// ledger endpoint.
+func EncodeSettleError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSettleUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSettleNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "invalid":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSettleInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSettleUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
--- a/gen/http/ledger/server/types.go
+++ b/gen/http/ledger/server/types.go
@@ -55,6 +55,150 @@
 	At     *string `form:"at,omitempty" json:"at,omitempty" xml:"at,omitempty"`
 }
 
+// ShowUnauthorizedResponseBody is the type of the "ledger" service "show"
+// endpoint HTTP response body for the "unauthorized" error.
+type ShowUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ShowNotFoundResponseBody is the type of the "ledger" service "show" endpoint
+// HTTP response body for the "not_found" error.
+type ShowNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ShowInvalidResponseBody is the type of the "ledger" service "show" endpoint
+// HTTP response body for the "invalid" error.
+type ShowInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ShowUnavailableResponseBody is the type of the "ledger" service "show"
+// endpoint HTTP response body for the "unavailable" error.
+type ShowUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SettleUnauthorizedResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "unauthorized" error.
+type SettleUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SettleNotFoundResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "not_found" error.
+type SettleNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SettleInvalidResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "invalid" error.
+type SettleInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// SettleUnavailableResponseBody is the type of the "ledger" service "settle"
+// endpoint HTTP response body for the "unavailable" error.
+type SettleUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // NewShowResponseBody builds the HTTP response body from the result of the
 // "show" endpoint of the "ledger" service.
 func NewShowResponseBody(res *ledger.LedgerEntry) *ShowResponseBody {
@@ -87,6 +231,118 @@
 	return body
 }
 
+// NewShowUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "show" endpoint of the "ledger" service.
+func NewShowUnauthorizedResponseBody(res *goa.ServiceError) *ShowUnauthorizedResponseBody {
+	body := &ShowUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewShowNotFoundResponseBody builds the HTTP response body from the result of
+// the "show" endpoint of the "ledger" service.
+func NewShowNotFoundResponseBody(res *goa.ServiceError) *ShowNotFoundResponseBody {
+	body := &ShowNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewShowInvalidResponseBody builds the HTTP response body from the result of
+// the "show" endpoint of the "ledger" service.
+func NewShowInvalidResponseBody(res *goa.ServiceError) *ShowInvalidResponseBody {
+	body := &ShowInvalidResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewShowUnavailableResponseBody builds the HTTP response body from the result
+// of the "show" endpoint of the "ledger" service.
+func NewShowUnavailableResponseBody(res *goa.ServiceError) *ShowUnavailableResponseBody {
+	body := &ShowUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSettleUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "settle" endpoint of the "ledger" service.
+func NewSettleUnauthorizedResponseBody(res *goa.ServiceError) *SettleUnauthorizedResponseBody {
+	body := &SettleUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSettleNotFoundResponseBody builds the HTTP response body from the result
+// of the "settle" endpoint of the "ledger" service.
+func NewSettleNotFoundResponseBody(res *goa.ServiceError) *SettleNotFoundResponseBody {
+	body := &SettleNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSettleInvalidResponseBody builds the HTTP response body from the result
+// of the "settle" endpoint of the "ledger" service.
+func NewSettleInvalidResponseBody(res *goa.ServiceError) *SettleInvalidResponseBody {
+	body := &SettleInvalidResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewSettleUnavailableResponseBody builds the HTTP response body from the
+// result of the "settle" endpoint of the "ledger" service.
+func NewSettleUnavailableResponseBody(res *goa.ServiceError) *SettleUnavailableResponseBody {
+	body := &SettleUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewShowPayload builds a ledger service show endpoint payload.
 func NewShowPayload(service string, caller string, key string, token *string) *ledger.ShowPayload {
 	v := &ledger.ShowPayload{}
--- a/gen/http/refusal/client/encode_decode.go
+++ b/gen/http/refusal/client/encode_decode.go
@@ -63,6 +63,12 @@
 // DecodeShowResponse returns a decoder for responses returned by the refusal
 // show endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
+// DecodeShowResponse may return the following errors:
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "invalid" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
 func DecodeShowResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
@@ -93,6 +99,62 @@
 			}
 			res := NewShowRefusalOK(&body)
 			return res, nil
+		case http.StatusUnauthorized:
+			var (
+				body ShowUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "show", err)
+			}
+			err = ValidateShowUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "show", err)
+			}
+			return nil, NewShowUnauthorized(&body)
+		case http.StatusNotFound:
+			var (
+				body ShowNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "show", err)
+			}
+			err = ValidateShowNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "show", err)
+			}
+			return nil, NewShowNotFound(&body)
+		case http.StatusBadRequest:
+			var (
+				body ShowInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "show", err)
+			}
+			err = ValidateShowInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "show", err)
+			}
+			return nil, NewShowInvalid(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body ShowUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "show", err)
+			}
+			err = ValidateShowUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "show", err)
+			}
+			return nil, NewShowUnavailable(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("refusal", "show", resp.StatusCode, string(body))
@@ -149,6 +211,12 @@
 // DecodeListResponse returns a decoder for responses returned by the refusal
 // list endpoint. restoreBody controls whether the response body should be
 // restored after having been read.
+// DecodeListResponse may return the following errors:
+//   - "unauthorized" (type *goa.ServiceError): http.StatusUnauthorized
+//   - "not_found" (type *goa.ServiceError): http.StatusNotFound
+//   - "invalid" (type *goa.ServiceError): http.StatusBadRequest
+//   - "unavailable" (type *goa.ServiceError): http.StatusServiceUnavailable
+//   - error: internal error
 func DecodeListResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
 		if restoreBody {
@@ -179,6 +247,62 @@
 			}
 			res := NewListResultOK(&body)
 			return res, nil
+		case http.StatusUnauthorized:
+			var (
+				body ListUnauthorizedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "list", err)
+			}
+			err = ValidateListUnauthorizedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "list", err)
+			}
+			return nil, NewListUnauthorized(&body)
+		case http.StatusNotFound:
+			var (
+				body ListNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "list", err)
+			}
+			err = ValidateListNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "list", err)
+			}
+			return nil, NewListNotFound(&body)
+		case http.StatusBadRequest:
+			var (
+				body ListInvalidResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "list", err)
+			}
+			err = ValidateListInvalidResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "list", err)
+			}
+			return nil, NewListInvalid(&body)
+		case http.StatusServiceUnavailable:
+			var (
+				body ListUnavailableResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("refusal", "list", err)
+			}
+			err = ValidateListUnavailableResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("refusal", "list", err)
+			}
+			return nil, NewListUnavailable(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("refusal", "list", resp.StatusCode, string(body))
--- a/gen/http/refusal/client/types.go
+++ b/gen/http/refusal/client/types.go
@@ -56,6 +56,150 @@
 	Next *string `form:"next,omitempty" json:"next,omitempty" xml:"next,omitempty"`
 }
 
+// ShowUnauthorizedResponseBody is the type of the "refusal" service "show"
+// endpoint HTTP response body for the "unauthorized" error.
+type ShowUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ShowNotFoundResponseBody is the type of the "refusal" service "show"
+// endpoint HTTP response body for the "not_found" error.
+type ShowNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ShowInvalidResponseBody is the type of the "refusal" service "show" endpoint
+// HTTP response body for the "invalid" error.
+type ShowInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ShowUnavailableResponseBody is the type of the "refusal" service "show"
+// endpoint HTTP response body for the "unavailable" error.
+type ShowUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListUnauthorizedResponseBody is the type of the "refusal" service "list"
+// endpoint HTTP response body for the "unauthorized" error.
+type ListUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListNotFoundResponseBody is the type of the "refusal" service "list"
+// endpoint HTTP response body for the "not_found" error.
+type ListNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListInvalidResponseBody is the type of the "refusal" service "list" endpoint
+// HTTP response body for the "invalid" error.
+type ListInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
+// ListUnavailableResponseBody is the type of the "refusal" service "list"
+// endpoint HTTP response body for the "unavailable" error.
+type ListUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Is the error temporary?
+	Temporary *bool `form:"temporary,omitempty" json:"temporary,omitempty" xml:"temporary,omitempty"`
+	// Is the error a timeout?
+	Timeout *bool `form:"timeout,omitempty" json:"timeout,omitempty" xml:"timeout,omitempty"`
+	// Is the error a server-side fault?
+	Fault *bool `form:"fault,omitempty" json:"fault,omitempty" xml:"fault,omitempty"`
+}
+
 // FactResponseBody is used to define fields on response body types.
 type FactResponseBody struct {
 	Name  *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
@@ -154,6 +298,63 @@
 	return v
 }
 
+// NewShowUnauthorized builds a refusal service show endpoint unauthorized
+// error.
+func NewShowUnauthorized(body *ShowUnauthorizedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewShowNotFound builds a refusal service show endpoint not_found error.
+func NewShowNotFound(body *ShowNotFoundResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewShowInvalid builds a refusal service show endpoint invalid error.
+func NewShowInvalid(body *ShowInvalidResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewShowUnavailable builds a refusal service show endpoint unavailable error.
+func NewShowUnavailable(body *ShowUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // NewListResultOK builds a "refusal" service "list" endpoint result from a
 // HTTP "OK" response.
 func NewListResultOK(body *ListResponseBody) *refusal.ListResult {
@@ -172,6 +373,63 @@
 	return v
 }
 
+// NewListUnauthorized builds a refusal service list endpoint unauthorized
+// error.
+func NewListUnauthorized(body *ListUnauthorizedResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewListNotFound builds a refusal service list endpoint not_found error.
+func NewListNotFound(body *ListNotFoundResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewListInvalid builds a refusal service list endpoint invalid error.
+func NewListInvalid(body *ListInvalidResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
+// NewListUnavailable builds a refusal service list endpoint unavailable error.
+func NewListUnavailable(body *ListUnavailableResponseBody) *goa.ServiceError {
+	v := &goa.ServiceError{
+		Name:      *body.Name,
+		ID:        *body.ID,
+		Message:   *body.Message,
+		Temporary: *body.Temporary,
+		Timeout:   *body.Timeout,
+		Fault:     *body.Fault,
+	}
+
+	return v
+}
+
 // ValidateShowResponseBody runs the validations defined on ShowResponseBody
 func ValidateShowResponseBody(body *ShowResponseBody) (err error) {
 	if body.ID == nil {
@@ -252,6 +510,198 @@
 	return
 }
 
+// ValidateShowUnauthorizedResponseBody runs the validations defined on
+// show_unauthorized_response_body
+func ValidateShowUnauthorizedResponseBody(body *ShowUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateShowNotFoundResponseBody runs the validations defined on
+// show_not_found_response_body
+func ValidateShowNotFoundResponseBody(body *ShowNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateShowInvalidResponseBody runs the validations defined on
+// show_invalid_response_body
+func ValidateShowInvalidResponseBody(body *ShowInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateShowUnavailableResponseBody runs the validations defined on
+// show_unavailable_response_body
+func ValidateShowUnavailableResponseBody(body *ShowUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListUnauthorizedResponseBody runs the validations defined on
+// list_unauthorized_response_body
+func ValidateListUnauthorizedResponseBody(body *ListUnauthorizedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListNotFoundResponseBody runs the validations defined on
+// list_not_found_response_body
+func ValidateListNotFoundResponseBody(body *ListNotFoundResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListInvalidResponseBody runs the validations defined on
+// list_invalid_response_body
+func ValidateListInvalidResponseBody(body *ListInvalidResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
+// ValidateListUnavailableResponseBody runs the validations defined on
+// list_unavailable_response_body
+func ValidateListUnavailableResponseBody(body *ListUnavailableResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.ID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("id", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Temporary == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("temporary", "body"))
+	}
+	if body.Timeout == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("timeout", "body"))
+	}
+	if body.Fault == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("fault", "body"))
+	}
+	return
+}
+
 // ValidateFactResponseBody runs the validations defined on FactResponseBody
 func ValidateFactResponseBody(body *FactResponseBody) (err error) {
 	if body.Name == nil {
--- a/gen/http/refusal/server/encode_decode.go
+++ b/gen/http/refusal/server/encode_decode.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -67,6 +68,74 @@
 	}
 }
 
+// EncodeShowError returns an encoder for errors returned by the show refusal
+// endpoint.
+func EncodeShowError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "invalid":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewShowUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeListResponse returns an encoder for responses returned by the refusal
 // list endpoint.
 func EncodeListResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -151,6 +220,74 @@
 	}
 }
 
+// EncodeListError returns an encoder for errors returned by the list refusal
+// endpoint.
+func EncodeListError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "unauthorized":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListUnauthorizedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListNotFoundResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "invalid":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListInvalidResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *goa.ServiceError
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewListUnavailableResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // marshalRefusalFactToFactResponseBody builds a value of type
 // *FactResponseBody from a value of type *refusal.Fact.
 func marshalRefusalFactToFactResponseBody(v *refusal.Fact) *FactResponseBody {
--- a/gen/http/refusal/server/server.go
+++ b/gen/http/refusal/server/server.go
@@ -106,7 +106,7 @@
 	var (
 		decodeRequest  = DecodeShowRequest(mux, decoder)
 		encodeResponse = EncodeShowResponse(encoder)
-		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+		encodeError    = EncodeShowError(encoder, formatter)
 	)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
@@ -159,7 +159,7 @@
 	var (
 		decodeRequest  = DecodeListRequest(mux, decoder)
 		encodeResponse = EncodeListResponse(encoder)
-		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+		encodeError    = EncodeListError(encoder, formatter)
 	)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
--- a/gen/http/refusal/server/types.go
+++ b/gen/http/refusal/server/types.go
@@ -9,6 +9,7 @@
 
 import (
 	refusal "github.com/mustardramp/mustardramp/gen/refusal"
+	goa "goa.design/goa/v3/pkg"
 )
 
 // ShowResponseBody is the type of the "refusal" service "show" endpoint HTTP
@@ -55,6 +56,150 @@
 	Next string `form:"next" json:"next" xml:"next"`
 }
 
+// ShowUnauthorizedResponseBody is the type of the "refusal" service "show"
+// endpoint HTTP response body for the "unauthorized" error.
+type ShowUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ShowNotFoundResponseBody is the type of the "refusal" service "show"
+// endpoint HTTP response body for the "not_found" error.
+type ShowNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ShowInvalidResponseBody is the type of the "refusal" service "show" endpoint
+// HTTP response body for the "invalid" error.
+type ShowInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ShowUnavailableResponseBody is the type of the "refusal" service "show"
+// endpoint HTTP response body for the "unavailable" error.
+type ShowUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListUnauthorizedResponseBody is the type of the "refusal" service "list"
+// endpoint HTTP response body for the "unauthorized" error.
+type ListUnauthorizedResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListNotFoundResponseBody is the type of the "refusal" service "list"
+// endpoint HTTP response body for the "not_found" error.
+type ListNotFoundResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListInvalidResponseBody is the type of the "refusal" service "list" endpoint
+// HTTP response body for the "invalid" error.
+type ListInvalidResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
+// ListUnavailableResponseBody is the type of the "refusal" service "list"
+// endpoint HTTP response body for the "unavailable" error.
+type ListUnavailableResponseBody struct {
+	// Name is the name of this class of errors.
+	Name string `form:"name" json:"name" xml:"name"`
+	// ID is a unique identifier for this particular occurrence of the problem.
+	ID string `form:"id" json:"id" xml:"id"`
+	// Message is a human-readable explanation specific to this occurrence of the
+	// problem.
+	Message string `form:"message" json:"message" xml:"message"`
+	// Is the error temporary?
+	Temporary bool `form:"temporary" json:"temporary" xml:"temporary"`
+	// Is the error a timeout?
+	Timeout bool `form:"timeout" json:"timeout" xml:"timeout"`
+	// Is the error a server-side fault?
+	Fault bool `form:"fault" json:"fault" xml:"fault"`
+}
+
 // FactResponseBody is used to define fields on response body types.
 type FactResponseBody struct {
 	Name  string `form:"name" json:"name" xml:"name"`
@@ -173,6 +318,118 @@
 	return body
 }
 
+// NewShowUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "show" endpoint of the "refusal" service.
+func NewShowUnauthorizedResponseBody(res *goa.ServiceError) *ShowUnauthorizedResponseBody {
+	body := &ShowUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewShowNotFoundResponseBody builds the HTTP response body from the result of
+// the "show" endpoint of the "refusal" service.
+func NewShowNotFoundResponseBody(res *goa.ServiceError) *ShowNotFoundResponseBody {
+	body := &ShowNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewShowInvalidResponseBody builds the HTTP response body from the result of
+// the "show" endpoint of the "refusal" service.
+func NewShowInvalidResponseBody(res *goa.ServiceError) *ShowInvalidResponseBody {
+	body := &ShowInvalidResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewShowUnavailableResponseBody builds the HTTP response body from the result
+// of the "show" endpoint of the "refusal" service.
+func NewShowUnavailableResponseBody(res *goa.ServiceError) *ShowUnavailableResponseBody {
+	body := &ShowUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListUnauthorizedResponseBody builds the HTTP response body from the
+// result of the "list" endpoint of the "refusal" service.
+func NewListUnauthorizedResponseBody(res *goa.ServiceError) *ListUnauthorizedResponseBody {
+	body := &ListUnauthorizedResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListNotFoundResponseBody builds the HTTP response body from the result of
+// the "list" endpoint of the "refusal" service.
+func NewListNotFoundResponseBody(res *goa.ServiceError) *ListNotFoundResponseBody {
+	body := &ListNotFoundResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListInvalidResponseBody builds the HTTP response body from the result of
+// the "list" endpoint of the "refusal" service.
+func NewListInvalidResponseBody(res *goa.ServiceError) *ListInvalidResponseBody {
+	body := &ListInvalidResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
+// NewListUnavailableResponseBody builds the HTTP response body from the result
+// of the "list" endpoint of the "refusal" service.
+func NewListUnavailableResponseBody(res *goa.ServiceError) *ListUnavailableResponseBody {
+	body := &ListUnavailableResponseBody{
+		Name:      res.Name,
+		ID:        res.ID,
+		Message:   res.Message,
+		Temporary: res.Temporary,
+		Timeout:   res.Timeout,
+		Fault:     res.Fault,
+	}
+	return body
+}
+
 // NewShowPayload builds a refusal service show endpoint payload.
 func NewShowPayload(id string, token *string) *refusal.ShowPayload {
 	v := &refusal.ShowPayload{}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,311 @@
+// Package fleet runs a whole fleet with stand-in backends inside one process,
+// on loopback.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/examples"
+	"github.com/mustardramp/mustardramp/internal/host"
+	"github.com/mustardramp/mustardramp/internal/registry"
+	"github.com/mustardramp/mustardramp/internal/setting"
+	"github.com/mustardramp/mustardramp/internal/standin"
+	"github.com/mustardramp/mustardramp/pkg/announce"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+// Tokens of the fleet; it listens on loopback only.
+const (
+	AdminToken    = "try-administration"
+	AnnounceToken = "try-announcements"
+)
+
+const (
+	// refusalBytes is each entry host's memory for refusals.
+	refusalBytes mustardramp.Bytes = 4 << 20
+	// workTime is the time that a stand-in takes for a request.
+	workTime = 2 * time.Millisecond
+	// publishPause is the time between two tries to publish the contracts.
+	publishPause = 100 * time.Millisecond
+)
+
+// Size says how large the fleet is.
+type Size struct {
+	Control  int
+	Entry    int
+	Backends int
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Control  []*host.Control
+	Entry    []*host.Entry
+	Backends []*Backend
+
+	contracts []registry.File
+	folder    string
+}
+
+// Backend is one stand-in with its address and announcer.
+type Backend struct {
+	standin.Backend
+	Service   mustardramp.ServiceName
+	Address   netip.AddrPort
+	Announcer *announce.Client
+
+	listener net.Listener
+}
+
+var places = []mustardramp.Place{
+	{Zone: "kol-a", Region: "kolkata"},
+	{Zone: "kol-b", Region: "kolkata"},
+	{Zone: "sil-a", Region: "siliguri"},
+	{Zone: "sil-b", Region: "siliguri"},
+}
+
+// New opens all listeners of a fleet. The folder holds the control hosts'
+// state; it is made when it is empty, and removed by Close then.
+func New(size Size) (*Fleet, error) {
+	f := &Fleet{}
+	folder, err := os.MkdirTemp("", "mustardramp-try-")
+	if err != nil {
+		return nil, err
+	}
+	f.folder = folder
+	if err := f.openControl(size.Control); err != nil {
+		return nil, err
+	}
+	if err := f.openEntry(size.Entry); err != nil {
+		return nil, err
+	}
+	return f, f.openBackends(size.Backends)
+}
+
+// Close removes what the fleet kept on disk.
+func (f *Fleet) Close() error {
+	return os.RemoveAll(f.folder)
+}
+
+// openControl reserves link addresses first, because each control host is
+// told the addresses of all.
+func (f *Fleet) openControl(n int) error {
+	members := make([]setting.Member, n)
+	for i := range members {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		members[i] = setting.Member{
+			Name:    mustardramp.HostName(fmt.Sprintf("control-%d", i+1)),
+			Address: address,
+			Place:   places[i%len(places)],
+		}
+	}
+	for _, m := range members {
+		c, err := host.NewControl(host.ControlConfig{
+			Common: host.Common{
+				Name: m.Name, Place: m.Place, Link: m.Address, Admin: loopback(),
+				AdminToken: AdminToken, Control: members,
+			},
+			Data: filepath.Join(f.folder, string(m.Name)),
+		})
+		if err != nil {
+			return err
+		}
+		f.Control = append(f.Control, c)
+	}
+	return nil
+}
+
+func (f *Fleet) members() []setting.Member {
+	return f.Control[0].Members()
+}
+
+func (f *Fleet) openEntry(n int) error {
+	for i := range n {
+		e, err := host.NewEntry(host.EntryConfig{
+			Common: host.Common{
+				Name:  mustardramp.HostName(fmt.Sprintf("entry-%d", i+1)),
+				Place: places[i%len(places)], Link: loopback(), Admin: loopback(),
+				AdminToken: AdminToken, Control: f.members(),
+			},
+			Listen: loopback(), Announce: loopback(), AnnounceToken: AnnounceToken,
+			CallerHeader: "X-Caller",
+			RefusalBytes: refusalBytes,
+		})
+		if err != nil {
+			return err
+		}
+		f.Entry = append(f.Entry, e)
+	}
+	return nil
+}
+
+func (f *Fleet) openBackends(each int) error {
+	contracts, err := exampleContracts()
+	if err != nil {
+		return err
+	}
+	for _, c := range contracts {
+		f.contracts = append(f.contracts, registry.File{Name: string(c.Service) + ".yaml", Source: c.Source})
+		for i := range each {
+			b, err := f.openBackend(c, i)
+			if err != nil {
+				return err
+			}
+			f.Backends = append(f.Backends, b)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) openBackend(c *contract.Contract, i int) (*Backend, error) {
+	listener, err := net.Listen("tcp", loopback().String())
+	if err != nil {
+		return nil, err
+	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	place := places[i%len(places)]
+	b := &Backend{Service: c.Service, Address: address, listener: listener}
+	b.Name = fmt.Sprintf("%s-%d", c.Service, i+1)
+	b.Slots = int(c.Slots)
+	b.Work = workTime
+	b.Announcer = &announce.Client{
+		Token: AnnounceToken,
+		About: announce.Announcement{
+			Service: c.Service, Address: address, Zone: place.Zone, Region: place.Region,
+			Slots: c.Slots, Connections: c.Connections,
+			Incarnation: mustardramp.Incarnation(time.Now().UnixMilli()),
+		},
+	}
+	for _, e := range f.Entry {
+		b.Announcer.Hosts = append(b.Announcer.Hosts, "http://"+e.Announce().String())
+	}
+	return b, nil
+}
+
+func exampleContracts() ([]*contract.Contract, error) {
+	var out []*contract.Contract
+	err := fs.WalkDir(examples.Contracts, ".", func(name string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		source, err := fs.ReadFile(examples.Contracts, name)
+		if err != nil {
+			return err
+		}
+		c, err := contract.Parse(path.Base(name), source)
+		out = append(out, c)
+		return err
+	})
+	return out, err
+}
+
+// Run runs the fleet until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, c := range f.Control {
+		group.Go(func() error { return c.Run(ctx) })
+	}
+	for _, e := range f.Entry {
+		group.Go(func() error { return e.Run(ctx) })
+	}
+	for _, b := range f.Backends {
+		group.Go(func() error { return b.serve(ctx) })
+		group.Go(func() error { return b.announce(ctx) })
+	}
+	return group.Wait()
+}
+
+func (b *Backend) serve(ctx context.Context) error {
+	server := &http.Server{Handler: b}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	group.Go(func() error {
+		if err := server.Serve(b.listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// announce announces the backend until the context ends.
+func (b *Backend) announce(ctx context.Context) error {
+	_ = b.Announcer.Serve(ctx)
+	if err := b.Announcer.Run(ctx); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// Publish puts the example contracts in force, and tries again while no
+// control host answers.
+func (f *Fleet) Publish(ctx context.Context) (registry.Result, error) {
+	command := registry.Command{
+		Change: mustardramp.ChangeID(uuid.NewString()),
+		Who:    "fleet try",
+		Why:    "example contracts",
+		At:     time.Now(),
+		Files:  f.contracts,
+	}
+	for {
+		result, err := f.Entry[0].Contracts().Publish(ctx, command)
+		if err == nil {
+			return result, nil
+		}
+		select {
+		case <-ctx.Done():
+			return registry.Result{}, err
+		case <-time.After(publishPause):
+		}
+	}
+}
+
+// Ready returns when every entry host can serve every service.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for {
+		ready := true
+		for _, e := range f.Entry {
+			ready = ready && e.Serving() == len(f.contracts)
+		}
+		if ready {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(publishPause):
+		}
+	}
+}
+
+func loopback() netip.AddrPort {
+	return netip.MustParseAddrPort("127.0.0.1:0")
+}
+
+// freeAddress returns an address that is free now.
+func freeAddress() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", loopback().String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -227,3 +227,13 @@
 	place := mustardramp.Place{Zone: mustardramp.Zone(parts[1]), Region: mustardramp.Region(parts[2])}
 	return Member{Name: mustardramp.HostName(name), Address: address, Place: place}, address.IsValid()
 }
+
+// Self checks that the list of control hosts names this host.
+func (c *Checker) Self(nameFlag string, name mustardramp.HostName, listFlag string, members []Member) {
+	for _, m := range members {
+		if m.Name == name {
+			return
+		}
+	}
+	c.fault(listFlag, fmt.Sprintf("does not name %q", name), "add this host to the list, with the name of "+nameFlag)
+}
--- /dev/null
+++ b/pkg/cmd/entry/serve/serve.go
@@ -0,0 +1,73 @@
+// Package serve is the command entry serve.
+package serve
+
+import (
+	"context"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/host"
+	"github.com/mustardramp/mustardramp/internal/setting"
+	"github.com/mustardramp/mustardramp/pkg/cmd/factory"
+)
+
+// Options are the flags of entry serve.
+type Options struct {
+	factory.Common
+	Listen         string            `help:"Address for callers." default:"127.0.0.1:7001" env:"MUSTARDRAMP_LISTEN" placeholder:"IP:PORT"`
+	AnnounceListen string            `help:"Address for backends' announcements." default:"127.0.0.1:7002" env:"MUSTARDRAMP_ANNOUNCE_LISTEN" placeholder:"IP:PORT"`
+	AnnounceToken  string            `help:"Token that backends announce with." required:"" env:"MUSTARDRAMP_ANNOUNCE_TOKEN"`
+	CallerHeader   string            `help:"Header in which a trusted balancer states the caller; empty trusts none." env:"MUSTARDRAMP_CALLER_HEADER"`
+	TLSCert        string            `help:"PEM file of the certificate for callers; turns TLS on." env:"MUSTARDRAMP_TLS_CERT"`
+	TLSKey         string            `help:"PEM file of the certificate's key." env:"MUSTARDRAMP_TLS_KEY"`
+	TLSClientCA    string            `help:"PEM file of the authority of callers' certificates." env:"MUSTARDRAMP_TLS_CLIENT_CA"`
+	RefusalBytes   mustardramp.Bytes `help:"Memory for refusals, in bytes." default:"67108864" env:"MUSTARDRAMP_REFUSAL_BYTES"`
+	StopDelay      time.Duration     `help:"Time from the fall of readiness to the end of accepting, for the balancer." default:"5s" env:"MUSTARDRAMP_STOP_DELAY"`
+
+	factory *factory.Factory
+}
+
+// New returns the command.
+func New(f *factory.Factory) Options {
+	return Options{factory: f}
+}
+
+// Help gives examples.
+func (Options) Help() string {
+	return `Examples:
+
+  mustardramp entry serve --name entry-1 --zone kol-a --region kolkata \
+      --control control-1=127.0.0.1:7104/kol-a/kolkata \
+      --admin-token 0123456789abcdef --announce-token fedcba9876543210`
+}
+
+// Run serves until the context ends.
+func (o *Options) Run(ctx context.Context) error {
+	config, err := o.config()
+	if err != nil {
+		return &factory.Problem{Code: factory.ExitUsage, Reason: err.Error(), Remedy: "mend the settings and start again"}
+	}
+	entry, err := host.NewEntry(config)
+	if err != nil {
+		return err
+	}
+	return entry.Run(ctx)
+}
+
+func (o *Options) config() (host.EntryConfig, error) {
+	var check setting.Checker
+	config := host.EntryConfig{
+		Common:        o.Check(&check),
+		Listen:        check.Listener("--listen", o.Listen),
+		Announce:      check.Listener("--announce-listen", o.AnnounceListen),
+		AnnounceToken: o.AnnounceToken,
+		CallerHeader:  o.CallerHeader,
+		TLS:           host.Files{Cert: o.TLSCert, Key: o.TLSKey, CA: o.TLSClientCA},
+		RefusalBytes:  o.RefusalBytes,
+		StopDelay:     o.StopDelay,
+	}
+	check.Secret("--announce-token", o.AnnounceToken)
+	check.Pair("--tls-cert", o.TLSCert, "--tls-key", o.TLSKey)
+	check.File("--tls-client-ca", o.TLSClientCA)
+	return config, check.Err()
+}
--- /dev/null
+++ b/pkg/cmd/fleet/try/print.go
@@ -0,0 +1,49 @@
+package try
+
+import (
+	"fmt"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/fleet"
+)
+
+func (o *Options) print(f *fleet.Fleet, index mustardramp.Index) {
+	p := o.factory.Streams.Print
+	p("a fleet is running, configuration %d is in force\n\n", index)
+	rows := addresses(f)
+	for _, row := range rows {
+		p("  %-14s %-9s %s\n", row[0], row[1], row[2])
+	}
+	traffic := f.Entry[0].Traffic()
+	p("\nA call that succeeds:\n\n")
+	p("  curl -i -H 'Host: patha.sutradhar.example' http://%s/transcripts/118\n", traffic)
+	p("\nA call that is refused, because a certification needs a key:\n\n")
+	p("  curl -i -X POST -H 'Host: mohor.sutradhar.example' -H 'X-Request-Id: first-try' http://%s/certifications\n", traffic)
+	p("\nWhy was it refused, and did it run?\n\n")
+	p("  go run ./cmd/mustardramp refusal why first-try --admin %s --token %s\n", f.Entry[0].Admin(), fleet.AdminToken)
+	p("\nThe fleet at a glance:\n\n")
+	p("  go run ./cmd/mustardramp fleet status --admin %s --token %s\n\n", f.Entry[0].Admin(), fleet.AdminToken)
+}
+
+// addresses lists name, purpose and address of every process.
+func addresses(f *fleet.Fleet) [][3]string {
+	var rows [][3]string
+	add := func(name, purpose string, address fmt.Stringer) {
+		rows = append(rows, [3]string{name, purpose, address.String()})
+	}
+	for i, c := range f.Control {
+		name := fmt.Sprintf("control-%d", i+1)
+		add(name, "link", c.Link())
+		add(name, "admin", c.Admin())
+	}
+	for i, e := range f.Entry {
+		name := fmt.Sprintf("entry-%d", i+1)
+		add(name, "traffic", e.Traffic())
+		add(name, "announce", e.Announce())
+		add(name, "admin", e.Admin())
+	}
+	for _, b := range f.Backends {
+		add(b.Name, "backend", b.Address)
+	}
+	return rows
+}
--- /dev/null
+++ b/pkg/cmd/fleet/try/try.go
@@ -0,0 +1,91 @@
+// Package try is the command fleet try.
+package try
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp/internal/fleet"
+	"github.com/mustardramp/mustardramp/pkg/cmd/factory"
+)
+
+// startLimit bounds the start of the fleet.
+const startLimit = 30 * time.Second
+
+// Options are the flags of fleet try.
+type Options struct {
+	Control  int           `help:"Number of control hosts." default:"3"`
+	Entry    int           `help:"Number of entry hosts." default:"3"`
+	Backends int           `help:"Number of stand-in backends of each service." default:"4"`
+	Log      bool          `help:"Print the hosts' log lines on standard error."`
+	For      time.Duration `help:"End after this time; the default is to run until interrupted."`
+
+	factory *factory.Factory
+}
+
+// New returns the command.
+func New(f *factory.Factory) Options {
+	return Options{factory: f}
+}
+
+// Help gives examples.
+func (Options) Help() string {
+	return `Everything runs inside this process, on 127.0.0.1, with the contracts of the
+examples. Interrupt ends it gracefully.
+
+Examples:
+
+  mustardramp fleet try
+  mustardramp fleet try --for 10s --entry 2`
+}
+
+// Run runs the fleet.
+func (o *Options) Run(ctx context.Context) (err error) {
+	if o.Control < 1 || o.Entry < 1 || o.Backends < 1 {
+		return &factory.Problem{Code: factory.ExitUsage, Reason: "a fleet needs hosts and backends", Remedy: "give each number as 1 or more"}
+	}
+	if !o.Log {
+		factory.QuietLogs()
+	}
+	if o.For > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		timer := time.AfterFunc(o.For, cancel)
+		defer timer.Stop()
+	}
+	f, err := fleet.New(fleet.Size{Control: o.Control, Entry: o.Entry, Backends: o.Backends})
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.Run(ctx) })
+	group.Go(func() error { return o.start(ctx, f) })
+	err = group.Wait()
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		o.factory.Streams.Print("stopped\n")
+	}
+	return err
+}
+
+func (o *Options) start(ctx context.Context, f *fleet.Fleet) error {
+	starting, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	result, err := f.Publish(starting)
+	if err == nil {
+		err = f.Ready(starting)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return &factory.Problem{Code: factory.ExitFailure, Reason: "the fleet did not start: " + err.Error(), Remedy: "run it again with --log"}
+	}
+	o.print(f, result.Change.Index)
+	return nil
+}
--- /dev/null
+++ b/pkg/cmd/root/root.go
@@ -0,0 +1,148 @@
+// Package root assembles the command line.
+package root
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kong"
+
+	backendlist "github.com/mustardramp/mustardramp/pkg/cmd/backend/list"
+	"github.com/mustardramp/mustardramp/pkg/cmd/contract/check"
+	"github.com/mustardramp/mustardramp/pkg/cmd/contract/diff"
+	contractlist "github.com/mustardramp/mustardramp/pkg/cmd/contract/list"
+	"github.com/mustardramp/mustardramp/pkg/cmd/contract/log"
+	"github.com/mustardramp/mustardramp/pkg/cmd/contract/publish"
+	contractshow "github.com/mustardramp/mustardramp/pkg/cmd/contract/show"
+	controlserve "github.com/mustardramp/mustardramp/pkg/cmd/control/serve"
+	entryserve "github.com/mustardramp/mustardramp/pkg/cmd/entry/serve"
+	"github.com/mustardramp/mustardramp/pkg/cmd/factory"
+	"github.com/mustardramp/mustardramp/pkg/cmd/fleet/status"
+	"github.com/mustardramp/mustardramp/pkg/cmd/fleet/try"
+	"github.com/mustardramp/mustardramp/pkg/cmd/host/drain"
+	"github.com/mustardramp/mustardramp/pkg/cmd/ledger/settle"
+	ledgershow "github.com/mustardramp/mustardramp/pkg/cmd/ledger/show"
+	metricslist "github.com/mustardramp/mustardramp/pkg/cmd/metrics/list"
+	refusallist "github.com/mustardramp/mustardramp/pkg/cmd/refusal/list"
+	"github.com/mustardramp/mustardramp/pkg/cmd/refusal/why"
+	"github.com/mustardramp/mustardramp/pkg/cmd/version"
+)
+
+type entryCommands struct {
+	Serve entryserve.Options `cmd:"" help:"Run an entry host."`
+}
+
+type controlCommands struct {
+	Serve controlserve.Options `cmd:"" help:"Run a control host."`
+}
+
+type contractCommands struct {
+	Check   check.Options        `cmd:"" help:"Report every fault in contract files."`
+	Publish publish.Options      `cmd:"" help:"Put contract files in force as one change."`
+	List    contractlist.Options `cmd:"" help:"List the contracts in force."`
+	Show    contractshow.Options `cmd:"" help:"Print a contract's text."`
+	Diff    diff.Options         `cmd:"" help:"Print what files would change."`
+	Log     log.Options          `cmd:"" help:"List accepted changes: who, when and why."`
+}
+
+type fleetCommands struct {
+	Status status.Options `cmd:"" help:"Show hosts, ejections, floors, ranks and quorums."`
+	Try    try.Options    `cmd:"" help:"Run a whole fleet with stand-in backends in this process."`
+}
+
+type backendCommands struct {
+	List backendlist.Options `cmd:"" help:"List backends with their standing and its cause."`
+}
+
+type hostCommands struct {
+	Drain drain.Options `cmd:"" help:"Stop a host gracefully."`
+}
+
+type refusalCommands struct {
+	Why  why.Options         `cmd:"" help:"Explain why a call was refused and whether it ran."`
+	List refusallist.Options `cmd:"" help:"List a host's refusals by caller, service and time."`
+}
+
+type ledgerCommands struct {
+	Show   ledgershow.Options `cmd:"" help:"Show the entry of a once-only operation."`
+	Settle settle.Options     `cmd:"" help:"Record what was found out about an operation of unknown outcome."`
+}
+
+type metricsCommands struct {
+	List metricslist.Options `cmd:"" help:"List a host's histograms by service, rank and caller."`
+}
+
+type commands struct {
+	Entry    entryCommands    `cmd:"" help:"Run entry hosts."`
+	Control  controlCommands  `cmd:"" help:"Run control hosts."`
+	Contract contractCommands `cmd:"" help:"Check, publish and read contracts."`
+	Fleet    fleetCommands    `cmd:"" help:"Look at the fleet, or try one."`
+	Backend  backendCommands  `cmd:"" help:"Look at backends."`
+	Host     hostCommands     `cmd:"" help:"Operate single hosts."`
+	Refusal  refusalCommands  `cmd:"" help:"Explain refusals."`
+	Ledger   ledgerCommands   `cmd:"" help:"Look at once-only operations."`
+	Metrics  metricsCommands  `cmd:"" help:"Read measurements."`
+	Version  version.Options  `cmd:"" help:"Print the version."`
+}
+
+func newCommands(f *factory.Factory) *commands {
+	return &commands{
+		Entry:   entryCommands{Serve: entryserve.New(f)},
+		Control: controlCommands{Serve: controlserve.New(f)},
+		Contract: contractCommands{
+			Check: check.New(f), Publish: publish.New(f), List: contractlist.New(f),
+			Show: contractshow.New(f), Diff: diff.New(f), Log: log.New(f),
+		},
+		Fleet:   fleetCommands{Status: status.New(f), Try: try.New(f)},
+		Backend: backendCommands{List: backendlist.New(f)},
+		Host:    hostCommands{Drain: drain.New(f)},
+		Refusal: refusalCommands{Why: why.New(f), List: refusallist.New(f)},
+		Ledger:  ledgerCommands{Show: ledgershow.New(f), Settle: settle.New(f)},
+		Metrics: metricsCommands{List: metricslist.New(f)},
+		Version: version.New(f),
+	}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(programVersion string, args []string) factory.ExitCode {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return Run(ctx, factory.New(programVersion), args)
+}
+
+// Run parses the arguments and runs their command.
+func Run(ctx context.Context, f *factory.Factory, args []string) (code factory.ExitCode) {
+	type exit struct{ code int }
+	defer func() {
+		if e, ok := recover().(exit); ok {
+			code = factory.ExitCode(e.code)
+		}
+	}()
+	parser, err := kong.New(newCommands(f),
+		kong.Name("mustardramp"),
+		kong.Description("Answers why a call was refused and whether it ran."),
+		kong.Writers(f.Streams.Out, f.Streams.Err),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, NoExpandSubcommands: false}),
+		kong.Exit(func(code int) { panic(exit{code}) }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+	)
+	if err != nil {
+		return report(f, err)
+	}
+	command, err := parser.Parse(args)
+	if err != nil {
+		return report(f, &factory.Problem{Code: factory.ExitUsage, Reason: err.Error(), Remedy: "see 'mustardramp --help'"})
+	}
+	if err := command.Run(); err != nil {
+		return report(f, err)
+	}
+	return factory.ExitOK
+}
+
+func report(f *factory.Factory, err error) factory.ExitCode {
+	problem := factory.Explain(err)
+	fmt.Fprintf(f.Streams.Err, "mustardramp: %s\n", problem.Error())
+	return problem.Code
+}
