--- a/pkg/cmd/factory/print.go
+++ b/pkg/cmd/factory/print.go
@@ -31,9 +31,13 @@
 
 // JSON prints a value as indented JSON.
 func (s Streams) JSON(value any) error {
+	named, err := plain(value)
+	if err != nil {
+		return err
+	}
 	encoder := json.NewEncoder(s.Out)
 	encoder.SetIndent("", "  ")
-	return encoder.Encode(value)
+	return encoder.Encode(named)
 }
 
 // Print writes formatted text.
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 
@@ -107,7 +108,7 @@
 
 // Main runs the command line and returns the exit code.
 func Main(programVersion string, args []string) factory.ExitCode {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return Run(ctx, factory.New(programVersion), args)
 }
--- /dev/null
+++ b/pkg/cmd/root/root_test.go
@@ -0,0 +1,265 @@
+package root_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	fleetapi "github.com/mustardramp/mustardramp/gen/fleet"
+	server "github.com/mustardramp/mustardramp/internal/admin"
+	"github.com/mustardramp/mustardramp/internal/refusal"
+	"github.com/mustardramp/mustardramp/internal/registry"
+	"github.com/mustardramp/mustardramp/pkg/admin"
+	"github.com/mustardramp/mustardramp/pkg/cmd/factory"
+	"github.com/mustardramp/mustardramp/pkg/cmd/root"
+)
+
+const token = "0123456789abcdef"
+
+var now = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+type fixedClock struct{}
+
+func (fixedClock) Now() time.Time { return now }
+
+// direct is a log of one member without a disk.
+type direct struct {
+	state *registry.State
+	index mustardramp.Index
+}
+
+func (d *direct) Propose(_ context.Context, command []byte) ([]byte, error) {
+	d.index++
+	return d.state.Apply(d.index, command), nil
+}
+
+func (*direct) Confirm(context.Context) error { return nil }
+
+// fakeFleet is a host's view with one live host and one lost host.
+type fakeFleet struct{ drained string }
+
+func (*fakeFleet) Status() *fleetapi.FleetStatus {
+	return &fleetapi.FleetStatus{
+		Host: "entry-1", At: now.Format(time.RFC3339), Index: 1000,
+		Hosts: []*fleetapi.Host{
+			{Name: "entry-1", Role: "entry", Zone: "kol-a", Region: "kolkata", State: "alive", Index: 1000},
+			{Name: "entry-2", Role: "entry", Zone: "kol-b", Region: "kolkata", State: "lost", Index: 1},
+		},
+		Services: []*fleetapi.ServiceStatus{
+			{Service: "mohor", Revision: 2, Backends: 22, ServingSlots: 132, UsableSlots: 126, FloorSlots: 106, Ejected: []string{"mohor/10.0.0.7:80"}},
+		},
+		Ranks:  []*fleetapi.RankStatus{{Service: "mohor", Rank: "urgent", Queued: 2, Served: 10}},
+		Groups: []*fleetapi.GroupStatus{{Group: "contracts", Leader: "control-1", Term: 4, Committed: 9, Members: []string{"control-1"}, Role: "none"}},
+		Links:  []*fleetapi.LinkStatus{{Peer: "entry-2", Sent: 10, Received: 5, Crosses: true}},
+	}
+}
+
+func (*fakeFleet) Backends(string) []*fleetapi.BackendStanding {
+	return []*fleetapi.BackendStanding{{ID: "mohor/10.0.0.7:80", Service: "mohor", Zone: "kol-a", Slots: 6, State: "serving", Standing: "ejected", Cause: "30 % of answers failed"}}
+}
+
+func (*fakeFleet) Histograms(string) []*fleetapi.Histogram {
+	return []*fleetapi.Histogram{{Name: "latency/mohor/urgent/all", Count: 3, Mean: 1, P50: 1, P99: 2, Max: 2, Unit: "ms"}}
+}
+func (f *fakeFleet) Drain(_, why string)                     { f.drained = why }
+func (*fakeFleet) Admin(mustardramp.HostName) (string, bool) { return "", false }
+
+// fakeLedger holds one operation of unknown outcome.
+type fakeLedger struct{ state string }
+
+func (l *fakeLedger) Show(_ context.Context, id mustardramp.ClaimID) (server.Entry, bool, error) {
+	return server.Entry{ID: id, State: l.state, Host: "entry-1", Attempt: 1}, id.Key == "known", nil
+}
+
+func (l *fakeLedger) Settle(_ context.Context, id mustardramp.ClaimID, outcome mustardramp.Outcome, _, _ string) (server.Entry, error) {
+	l.state = outcome.String()
+	return server.Entry{ID: id, State: l.state}, nil
+}
+
+type bench struct {
+	t       *testing.T
+	address string
+	fleet   fakeFleet
+	memory  refusal.Memory
+	// out and err are what the last command printed.
+	out, err bytes.Buffer
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t}
+	state := &registry.State{}
+	desk := &registry.Desk{State: state, Log: &direct{state: state}}
+	handler := server.New(server.Config{
+		Host: "entry-1", Token: token, Clock: fixedClock{},
+		Contracts: desk, Refusals: &b.memory, Fleet: &b.fleet, Ledger: &fakeLedger{state: "unknown"},
+	})
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	b.address = strings.TrimPrefix(s.URL, "http://")
+	return b
+}
+
+func (b *bench) run(args ...string) factory.ExitCode {
+	b.t.Helper()
+	b.out.Reset()
+	b.err.Reset()
+	f := &factory.Factory{
+		Streams: factory.Streams{Out: &b.out, Err: &b.err, Width: 80},
+		Clock:   fixedClock{},
+		Dial:    admin.Dial,
+		Version: "test",
+	}
+	return root.Run(b.t.Context(), f, args)
+}
+
+// ask runs a command against the bench's host.
+func (b *bench) ask(args ...string) factory.ExitCode {
+	return b.run(append(args, "--admin", b.address, "--token", token)...)
+}
+
+func (b *bench) file(name, source string) string {
+	b.t.Helper()
+	path := filepath.Join(b.t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(source), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	return path
+}
+
+const mohor = "service: mohor\nroutes:\n- {path: /a, methods: [GET]}\n"
+
+func TestCommands(t *testing.T) {
+	b := newBench(t)
+	good := b.file("mohor.yaml", mohor)
+	changed := b.file("changed.yaml", "service: mohor\nfloor: 90\nroutes:\n- {path: /a, methods: [GET]}\n")
+	bad := b.file("bad.yaml", "service: mohor\nfloor: 900\nroutes:\n- {path: /a, methods: [GET]}\n")
+	b.memory.Add(mustardramp.Refusal{
+		ID: "entry-1.a.1", Kind: mustardramp.KindQueueFull, Verdict: mustardramp.Not(), Host: "entry-1",
+		Rule: mustardramp.Rule{Service: "mohor", Revision: 1, Line: 3}, Reason: "the queue is full",
+		Facts: []mustardramp.Fact{{Name: "limit", Value: "6"}}, Caller: "clerk", Request: "r-1",
+		Method: "GET", Path: "/a", At: now, RetryAfter: time.Second,
+	})
+	steps := []struct {
+		name string
+		args []string
+		code factory.ExitCode
+		want []string
+	}{
+		{"version", []string{"version"}, 0, []string{"mustardramp test"}},
+		{"check", []string{"contract", "check", good}, 0, []string{"1 contracts without faults"}},
+		{"check faults", []string{"contract", "check", bad}, factory.ExitFaults, []string{"bad.yaml:2:1: floor is 900"}},
+		{"publish faults", []string{"contract", "publish", bad, "--why", "w"}, factory.ExitFaults, []string{"bad.yaml:2:1"}},
+		{"publish", []string{"contract", "publish", good, "--why", "w", "--change", "c-1"}, 0, []string{"mohor\t1\tc-1"}},
+		{"publish resent", []string{"contract", "publish", good, "--why", "w", "--change", "c-1", "--base", "mohor=0"}, 0, []string{"mohor\t1\tc-1"}},
+		{"publish conflict", []string{"contract", "publish", changed, "--why", "w", "--base", "mohor=0"}, factory.ExitConflict, []string{"+floor: 90"}},
+		{"publish wait", []string{"contract", "publish", changed, "--why", "w", "--wait"}, 0, []string{"mohor\t2", "in force on 1 of 1 live hosts"}},
+		{"diff", []string{"contract", "diff", good}, 0, []string{"-floor: 90", "mohor@2"}},
+		{"list", []string{"contract", "list"}, 0, []string{"mohor\t2\t1\t90%"}},
+		{"list json", []string{"contract", "list", "--json"}, 0, []string{`"revision": 2`}},
+		{"show", []string{"contract", "show", "mohor", "--revision", "1"}, 0, []string{mohor}},
+		{"show unknown", []string{"contract", "show", "nope"}, factory.ExitNotFound, nil},
+		{"log", []string{"contract", "log", "mohor"}, 0, []string{"mohor@2", "mohor@1"}},
+		{"status", []string{"fleet", "status"}, 0, []string{"look at: entry-2", "mohor", "126", "across regions 15", "control-1"}},
+		{"backends", []string{"backend", "list"}, 0, []string{"mohor/10.0.0.7:80\tkol-a\t6\tserving\tejected"}},
+		{"metrics", []string{"metrics", "list"}, 0, []string{"latency/mohor/urgent/all\t3"}},
+		{"why by id", []string{"refusal", "why", "entry-1.a.1"}, 0, []string{"no: the operation did not run", "queue-full", "limit = 6", "mohor@1:3 (", "- {path: /a, methods: [GET]}", "Send it again after 1s"}},
+		{"why by request id", []string{"refusal", "why", "r-1"}, 0, []string{"entry-1.a.1"}},
+		{"why unknown", []string{"refusal", "why", "entry-1.a.9"}, factory.ExitNotFound, nil},
+		{"refusals", []string{"refusal", "list", "--caller", "clerk"}, 0, []string{"entry-1.a.1", "queue-full"}},
+		{"refusals of another service", []string{"refusal", "list", "--service", "patha"}, 0, nil},
+		{"ledger", []string{"ledger", "show", "mohor", "clerk", "known"}, 0, []string{"mohor\tclerk\tknown\tunknown"}},
+		{"ledger unknown", []string{"ledger", "show", "mohor", "clerk", "other"}, factory.ExitNotFound, nil},
+		{"settle", []string{"ledger", "settle", "mohor", "clerk", "known", "ran", "--why", "seen"}, 0, []string{"is ran"}},
+		{"drain", []string{"host", "drain", "--why", "upgrade"}, 0, []string{"draining"}},
+		{"unknown command", []string{"host", "fly"}, factory.ExitUsage, nil},
+	}
+	for _, step := range steps {
+		t.Run(step.name, func(t *testing.T) {
+			args := step.args
+			remote := args[0] != "version" && args[1] != "check" && args[1] != "fly"
+			if remote {
+				args = append(args, "--admin", b.address, "--token", token)
+			}
+			if got := b.run(args...); got != step.code {
+				t.Fatalf("got exit code %d, want %d: %s", got, step.code, b.err.String())
+			}
+			for _, want := range step.want {
+				if got := b.out.String(); !strings.Contains(got, want) {
+					t.Errorf("got %q, want it to hold %q", got, want)
+				}
+			}
+			if step.code != 0 && strings.Count(b.err.String(), "\n") != 1 {
+				t.Errorf("got %q on standard error, want one line", b.err.String())
+			}
+		})
+	}
+	if got, want := b.fleet.drained, "upgrade"; got != want {
+		t.Errorf("got drain reason %q, want %q", got, want)
+	}
+}
+
+func TestTokenIsRequired(t *testing.T) {
+	b := newBench(t)
+	for name, extra := range map[string][]string{"missing": nil, "wrong": {"--token", "wrong"}} {
+		t.Run(name, func(t *testing.T) {
+			args := append([]string{"fleet", "status", "--admin", b.address}, extra...)
+			if got, want := b.run(args...), factory.ExitUnauthorized; got != want {
+				t.Errorf("got exit code %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+func TestUnreachableHost(t *testing.T) {
+	b := newBench(t)
+	if got, want := b.run("fleet", "status", "--admin", "127.0.0.1:1"), factory.ExitUnreachable; got != want {
+		t.Errorf("got exit code %d, want %d", got, want)
+	}
+}
+
+func TestSettingsFaultsAreReportedAtOnce(t *testing.T) {
+	b := newBench(t)
+	code := b.run("entry", "serve", "--name", "E", "--zone", "z", "--region", "r", "--link", "nope",
+		"--admin-token", "short", "--announce-token", "short", "--control", "c")
+	if want := factory.ExitUsage; code != want {
+		t.Fatalf("got exit code %d, want %d", code, want)
+	}
+	for _, want := range []string{"--name", "--link", "--admin-token", "--announce-token", "--control"} {
+		if got := b.err.String(); !strings.Contains(got, want) {
+			t.Errorf("got %q, want it to name %s", got, want)
+		}
+	}
+}
+
+func TestStatusFitsIn80Columns(t *testing.T) {
+	b := newBench(t)
+	b.ask("fleet", "status")
+	for _, line := range strings.Split(b.out.String(), "\n") {
+		if got := len([]rune(line)); got > 80 {
+			t.Errorf("got a line of %d columns, want 80 or less: %q", got, line)
+		}
+	}
+}
+
+func TestJSONIsValid(t *testing.T) {
+	b := newBench(t)
+	for name, args := range map[string][]string{
+		"status":   {"fleet", "status", "--json"},
+		"backends": {"backend", "list", "--json"},
+		"metrics":  {"metrics", "list", "--json"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b.ask(args...)
+			if !json.Valid(b.out.Bytes()) {
+				t.Errorf("got %q, want JSON", b.out.String())
+			}
+		})
+	}
+}
