--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -214,14 +214,15 @@
 	return out, err
 }
 
-// Run runs the fleet until the context ends.
-func (f *Fleet) Run(ctx context.Context) error {
+// Run runs the fleet until the context ends. The end of cut ends the requests
+// that the stop waits for.
+func (f *Fleet) Run(ctx, cut context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, c := range f.Control {
 		group.Go(func() error { return c.Run(ctx) })
 	}
 	for _, e := range f.Entry {
-		group.Go(func() error { return e.Run(ctx) })
+		group.Go(func() error { return e.Run(ctx, cut) })
 	}
 	for _, b := range f.Backends {
 		group.Go(func() error { return b.serve(ctx) })
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
+	fleetapi "github.com/mustardramp/mustardramp/gen/fleet"
 	"github.com/mustardramp/mustardramp/internal/admin"
+	"github.com/mustardramp/mustardramp/internal/exchange"
 	"github.com/mustardramp/mustardramp/internal/link"
+	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/registry"
 	"github.com/mustardramp/mustardramp/internal/setting"
 )
@@ -23,38 +28,85 @@
 	Data string
 }
 
-// Control is the process of a control host.
+// Control is the process of a control host. NewControl makes one.
 type Control struct {
-	config ControlConfig
-	clock  mustardramp.Clock
-	state  registry.State
-	desk   registry.Desk
-	server link.Server
+	config      ControlConfig
+	clock       mustardramp.Clock
+	incarnation mustardramp.Incarnation
+	secrets     secrets
+	state       registry.State
+	desk        registry.Desk
+	server      link.Server
+	links       links
+	exchange    *exchange.Exchange
+	drained     chan struct{}
+	drainOnce   sync.Once
 
-	link, admin net.Listener
+	linkListener, adminListener net.Listener
 }
 
 // NewControl opens the host's listeners.
 func NewControl(config ControlConfig) (*Control, error) {
-	c := &Control{config: config, clock: config.clock()}
-	c.desk = registry.Desk{State: &c.state, Log: &solo{machine: &c.state}}
-	c.desk.Serve(&c.server.Router)
+	c := &Control{
+		config:      config,
+		clock:       config.clock(),
+		incarnation: config.incarnation(),
+		drained:     make(chan struct{}),
+	}
 	var err error
-	if c.link, err = listen(config.Link); err != nil {
+	if c.secrets, err = config.secrets(Files{}); err != nil {
+		return nil, err
+	}
+	if c.linkListener, err = listen(config.Link); err != nil {
+		return nil, err
+	}
+	if c.adminListener, err = listen(config.Admin); err != nil {
 		return nil, err
 	}
-	c.admin, err = listen(config.Admin)
-	return c, err
+	c.assemble()
+	return c, nil
 }
 
-// Link returns the address for the other hosts.
-func (c *Control) Link() netip.AddrPort {
-	return addressOf(c.link)
+func (c *Control) assemble() {
+	c.server.TLS = c.secrets.linkServer
+	c.links.tls = c.secrets.linkClient
+	log := &solo{machine: &c.state}
+	c.desk = registry.Desk{State: &c.state, Log: log}
+	c.desk.Serve(&c.server.Router)
+	c.exchange = exchange.New(&c.server.Router, exchange.Options{
+		Self:  c.config.self(membership.Control, c.Link(), c.Admin(), c.incarnation),
+		Seeds: c.config.seeds(),
+		TLS:   c.secrets.linkClient,
+		Log:   log,
+		Clock: c.config.Clock,
+	})
+	c.state.Watch(c.spread)
+	link.Handle(&c.server.Router, methodState, func(context.Context, struct{}) (hostState, error) {
+		return hostState{Index: c.index(), Ready: c.exchange.Ready()}, nil
+	})
 }
 
-// Admin returns the address of the administration API.
-func (c *Control) Admin() netip.AddrPort {
-	return addressOf(c.admin)
+// spread passes accepted entries on to all hosts, those of one change at once.
+func (c *Control) spread(entries []registry.Entry) {
+	records := make([]mustardramp.Record, 0, len(entries))
+	for _, e := range entries {
+		record, err := e.Record()
+		if err != nil {
+			klog.ErrorS(err, "change-not-spread", "service", e.Service, "revision", e.Revision)
+			continue
+		}
+		records = append(records, record)
+	}
+	c.exchange.OfferAll(records)
+}
+
+// index returns the log index of the newest change that this host applied.
+func (c *Control) index() mustardramp.Index {
+	var newest mustardramp.Index
+	for _, e := range c.state.InForce() {
+		newest = max(newest, e.Index)
+	}
+	return newest
 }
 
 // Members lists all control hosts.
@@ -62,21 +114,100 @@
 	return c.config.Control
 }
 
-// Run serves until the context ends.
+// Link returns the address for the other hosts.
+func (c *Control) Link() netip.AddrPort {
+	return addressOf(c.linkListener)
+}
+
+// Admin returns the address of the administration API.
+func (c *Control) Admin() netip.AddrPort {
+	return addressOf(c.adminListener)
+}
+
+// Run serves until the context ends or the host is drained.
 func (c *Control) Run(ctx context.Context) error {
 	klog.InfoS("control-started", "host", c.config.Name, "link", c.Link(), "admin", c.Admin())
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return c.server.Serve(ctx, c.link) })
+	group.Go(func() error { return c.server.Serve(ctx, c.linkListener) })
+	group.Go(func() error { return c.exchange.Run(ctx) })
+	group.Go(func() error {
+		return every(ctx, membersPause, func() { c.links.set(c.exchange.Members()) })
+	})
+	group.Go(func() error { return serveHTTP(ctx, c.adminListener, c.secrets.admin, c.administration()) })
 	group.Go(func() error {
-		return serveHTTP(ctx, c.admin, admin.New(admin.Config{
-			Host:      c.config.Name,
-			Token:     c.config.AdminToken,
-			Clock:     c.clock,
-			Contracts: &c.desk,
-			Dial:      dialAdmin,
-		}))
+		defer end()
+		select {
+		case <-ctx.Done():
+		case <-c.drained:
+			c.exchange.Drain()
+		}
+		return nil
+	})
+	err := group.Wait()
+	c.links.close()
+	return err
+}
+
+// membersPause is the time between two looks at the members.
+const membersPause = time.Second
+
+func (c *Control) administration() http.Handler {
+	return admin.New(admin.Config{
+		Host:      c.config.Name,
+		Token:     c.config.AdminToken,
+		Clock:     c.clock,
+		Contracts: &c.desk,
+		Fleet:     &controlView{c},
+		Dial:      dialAdmin(c.config.AdminTLS),
 	})
-	return group.Wait()
+}
+
+// controlView is a control host's view of the fleet.
+type controlView struct{ *Control }
+
+// Status implements admin.Fleet.
+func (v *controlView) Status() *fleetapi.FleetStatus {
+	self := &fleetapi.Host{
+		Name: string(v.config.Name), Role: "control", Zone: string(v.config.Place.Zone), Region: string(v.config.Place.Region),
+		State: membership.Alive.String(), Index: uint64(v.index()), Admin: v.Control.Admin().String(), Incarnation: uint64(v.incarnation),
+	}
+	return &fleetapi.FleetStatus{
+		Host:     self.Name,
+		At:       v.clock.Now().UTC().Format(time.RFC3339),
+		Index:    self.Index,
+		Hosts:    hostsOf(self, v.exchange.Members(), &v.links),
+		Services: []*fleetapi.ServiceStatus{},
+		Ranks:    []*fleetapi.RankStatus{},
+		Groups:   v.groups(),
+		Links:    linksOf(v.exchange),
+	}
+}
+
+func (v *controlView) groups() []*fleetapi.GroupStatus {
+	return []*fleetapi.GroupStatus{}
+}
+
+// Backends implements admin.Fleet; a control host keeps none.
+func (*controlView) Backends(string) []*fleetapi.BackendStanding {
+	return []*fleetapi.BackendStanding{}
+}
+
+// Histograms implements admin.Fleet; a control host takes no traffic.
+func (*controlView) Histograms(string) []*fleetapi.Histogram {
+	return []*fleetapi.Histogram{}
+}
+
+// Drain implements admin.Fleet.
+func (v *controlView) Drain(_, _ string) {
+	v.drainOnce.Do(func() { close(v.drained) })
+}
+
+// Admin implements admin.Fleet.
+func (v *controlView) Admin(host mustardramp.HostName) (string, bool) {
+	address, ok := v.links.admin(host)
+	return address.String(), ok
 }
 
 // solo is the log of a group of one member, in memory.
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,19 +15,29 @@
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/admin"
 	"github.com/mustardramp/mustardramp/internal/announcement"
+	"github.com/mustardramp/mustardramp/internal/ejection"
 	"github.com/mustardramp/mustardramp/internal/entry"
+	"github.com/mustardramp/mustardramp/internal/exchange"
+	"github.com/mustardramp/mustardramp/internal/lease"
+	"github.com/mustardramp/mustardramp/internal/link"
+	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/refusal"
 	"github.com/mustardramp/mustardramp/internal/registry"
 	"github.com/mustardramp/mustardramp/internal/roster"
-	remote "github.com/mustardramp/mustardramp/pkg/admin"
+	"github.com/mustardramp/mustardramp/internal/tally"
+	"github.com/mustardramp/mustardramp/pkg/announce"
+	"github.com/mustardramp/mustardramp/pkg/contract"
 )
 
+// ReadyPath is where a balancer asks an entry host for its readiness, at the
+// address for announcements.
+const ReadyPath = "/v1/ready"
+
 const (
 	// stepPause is the time between two decisions on the backends' standings.
 	stepPause = 100 * time.Millisecond
-	// confirmPause is the time between two questions for the contracts in
-	// force at a control host.
-	confirmPause = time.Second
+	// reportPause is the time between two reports of evidence.
+	reportPause = 500 * time.Millisecond
 )
 
 // EntryConfig are the settings of an entry host, checked.
@@ -42,65 +54,170 @@
 	StopDelay time.Duration
 }
 
-// Entry is the process of an entry host.
+// Entry is the process of an entry host. NewEntry makes one.
 type Entry struct {
-	config    EntryConfig
-	clock     mustardramp.Clock
+	config      EntryConfig
+	clock       mustardramp.Clock
+	incarnation mustardramp.Incarnation
+	secrets     secrets
+
 	contracts Contracts
 	services  services
 	roster    roster.Table
+	ejector   *ejection.Ejector
 	refusals  refusal.Memory
+	tally     tally.Tally
+	links     links
+	server    link.Server
+	exchange  *exchange.Exchange
 	handler   *entry.Handler
+	traffic   *entry.Server
+	// ready is set once the host knows a current configuration; it is never
+	// unset.
+	ready atomic.Bool
+	// drained is closed when an operator drains the host.
+	drained   chan struct{}
+	drainOnce sync.Once
 
 	// The listeners are open from NewEntry on, so that their addresses are
 	// known.
-	traffic, announce, admin net.Listener
+	trafficListener, announceListener, adminListener, linkListener net.Listener
 }
 
 // NewEntry opens the host's listeners.
 func NewEntry(config EntryConfig) (*Entry, error) {
-	e := &Entry{config: config, clock: config.clock()}
-	e.services = services{host: config.Name, place: config.Place, clock: e.clock}
-	e.contracts.Remote = &registry.Remote{Hosts: callers(config.Control, config.Name)}
-	e.contracts.Changed = e.services.apply
+	e := &Entry{
+		config:      config,
+		clock:       config.clock(),
+		incarnation: config.incarnation(),
+		drained:     make(chan struct{}),
+	}
+	var err error
+	if e.secrets, err = config.secrets(config.TLS); err != nil {
+		return nil, err
+	}
+	if err := e.open(); err != nil {
+		return nil, err
+	}
+	e.assemble()
+	return e, nil
+}
+
+func (e *Entry) open() error {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  netip.AddrPort
+	}{
+		{&e.trafficListener, e.config.Listen},
+		{&e.announceListener, e.config.Announce},
+		{&e.adminListener, e.config.Admin},
+		{&e.linkListener, e.config.Link},
+	} {
+		var err error
+		if *l.listener, err = listen(l.address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Entry) assemble() {
+	config := &e.config
+	e.links.tls = e.secrets.linkClient
+	e.server.TLS = e.secrets.linkServer
 	e.refusals.Limit = config.RefusalBytes
+	e.tally.Clock = e.clock
+	e.services.holder = lease.Holder{Host: config.Name, Incarnation: e.incarnation}
+	e.services.place, e.services.clock, e.services.peers = config.Place, e.clock, &e.links
+	e.contracts.Remote = &registry.Remote{Hosts: config.callers(e.secrets.linkClient)}
+	e.contracts.Changed = e.services.apply
+	e.ejector = ejection.New(config.Name, e.incarnation, config.Place)
+	e.ejector.Terms = e.terms
+	e.ejector.Left = e.left
+	e.exchange = exchange.New(&e.server.Router, exchange.Options{
+		Self:  config.self(membership.Entry, e.Link(), e.Admin(), e.incarnation),
+		Seeds: config.seeds(),
+		TLS:   e.secrets.linkClient,
+		Clock: config.Clock,
+	})
+	e.roster.Pass = e.exchange.Offer
+	e.roster.Floor = func(s mustardramp.ServiceName) mustardramp.Percent { return e.terms(s).Floor }
 	e.handler = entry.New(entry.Config{
 		Host:         config.Name,
-		Incarnation:  config.incarnation(),
-		Contracts:    e.contracts.Set,
+		Incarnation:  e.incarnation,
+		Contracts:    e.current,
 		Services:     &e.services,
+		Observer:     e.ejector,
+		Tally:        &e.tally,
 		Clock:        e.clock,
 		Refusals:     &e.refusals,
 		CallerHeader: config.CallerHeader,
 	})
-	return e, e.open()
+	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.secrets.traffic)
+	e.answerHosts()
 }
 
-func (e *Entry) open() error {
-	var err error
-	if e.traffic, err = listen(e.config.Listen); err != nil {
-		return err
+// answerHosts answers the calls of other hosts.
+func (e *Entry) answerHosts() {
+	link.Handle(&e.server.Router, methodAsk, func(ctx context.Context, ask lease.Ask) (lease.Grant, error) {
+		r := e.services.running(ask.Service)
+		if r == nil {
+			return lease.Grant{}, ErrHost.New("service %s does not run here", ask.Service)
+		}
+		return r.pool.Grant(ctx, ask)
+	})
+	link.Handle(&e.server.Router, methodReport, func(_ context.Context, report lease.Report) (struct{}, error) {
+		if r := e.services.running(report.Service); r != nil {
+			r.pool.Take(report)
+		}
+		return struct{}{}, nil
+	})
+	link.Handle(&e.server.Router, methodState, func(context.Context, struct{}) (hostState, error) {
+		return hostState{Index: e.contracts.Index(), Ready: e.ready.Load()}, nil
+	})
+}
+
+// current returns the contracts in force, or nil while the host does not know
+// a current configuration.
+func (e *Entry) current() *contract.Set {
+	if !e.ready.Load() {
+		return nil
 	}
-	if e.announce, err = listen(e.config.Announce); err != nil {
-		return err
+	return e.contracts.Set()
+}
+
+func (e *Entry) terms(service mustardramp.ServiceName) ejection.Terms {
+	if c := e.contracts.Set().Service(service); c != nil {
+		return ejection.Terms{Floor: c.Floor, Caution: c.Caution}
+	}
+	return ejection.Terms{Floor: contract.DefaultFloor, Caution: contract.DefaultCaution}
+}
+
+// left takes in a backend's own word that it leaves.
+func (e *Entry) left(o mustardramp.Observation) {
+	if err := e.roster.Leave(e.clock.Now(), o.Backend, o.At.Add(-o.Latency)); err != nil {
+		klog.V(1).InfoS("leaving-not-noted", "backend", o.Backend, "cause", err)
 	}
-	e.admin, err = listen(e.config.Admin)
-	return err
 }
 
 // Traffic returns the address for callers.
 func (e *Entry) Traffic() netip.AddrPort {
-	return addressOf(e.traffic)
+	return addressOf(e.trafficListener)
 }
 
 // Announce returns the address for backends' announcements.
 func (e *Entry) Announce() netip.AddrPort {
-	return addressOf(e.announce)
+	return addressOf(e.announceListener)
 }
 
 // Admin returns the address of the administration API.
 func (e *Entry) Admin() netip.AddrPort {
-	return addressOf(e.admin)
+	return addressOf(e.adminListener)
+}
+
+// Link returns the address for the other hosts.
+func (e *Entry) Link() netip.AddrPort {
+	return addressOf(e.linkListener)
 }
 
 // Contracts returns the contracts that the host holds.
@@ -110,9 +227,12 @@
 
 // Serving counts the services with a usable backend.
 func (e *Entry) Serving() int {
+	if e.current() == nil {
+		return 0
+	}
 	n := 0
-	for _, c := range e.contracts.Set().Contracts() {
-		if r := e.services.running(c.Service); r != nil && anyUsable(r.Standings()) {
+	for _, r := range e.services.all() {
+		if anyUsable(r.Standings()) {
 			n++
 		}
 	}
@@ -128,25 +248,106 @@
 	return false
 }
 
-// Run serves until the context ends.
-func (e *Entry) Run(ctx context.Context) error {
-	klog.InfoS("entry-started", "host", e.config.Name, "traffic", e.Traffic(), "announce", e.Announce(), "admin", e.Admin())
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return e.follow(ctx) })
-	group.Go(func() error { return e.step(ctx) })
-	group.Go(func() error { return serveHTTP(ctx, e.announce, e.announcements()) })
-	group.Go(func() error { return serveHTTP(ctx, e.admin, e.administration()) })
-	group.Go(func() error { return serveHTTP(ctx, e.traffic, e.handler) })
-	return group.Wait()
+// Run serves until the context ends or the host is drained, and then until the
+// requests in flight have ended. The end of cut ends them at once.
+func (e *Entry) Run(ctx, cut context.Context) error {
+	klog.InfoS("entry-started", "host", e.config.Name, "traffic", e.Traffic(), "announce", e.Announce(),
+		"admin", e.Admin(), "link", e.Link())
+	inner, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, inner := errgroup.WithContext(inner)
+	e.watch()
+	group.Go(func() error { return e.server.Serve(inner, e.linkListener) })
+	group.Go(func() error { return e.exchange.Run(inner) })
+	group.Go(func() error { return every(inner, stepPause, e.step) })
+	group.Go(func() error { return every(inner, reportPause, e.report) })
+	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
+	group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
+	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.secrets.admin, e.administration()) })
+	group.Go(func() error { return e.traffic.Serve(e.trafficListener) })
+	group.Go(func() error {
+		defer end()
+		return e.stop(ctx, inner, cut)
+	})
+	err := group.Wait()
+	e.links.close()
+	return err
 }
 
-func (e *Entry) announcements() *announcement.Handler {
-	return announcement.New(announcement.Config{
+// stop waits for the end and stops the traffic gracefully, while the rest of
+// the host goes on.
+func (e *Entry) stop(ctx, inner, cut context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-e.drained:
+	case <-inner.Done():
+	}
+	e.exchange.Drain()
+	return e.traffic.Stop(cut)
+}
+
+// watch takes in what other hosts spread.
+func (e *Entry) watch() {
+	e.exchange.Watch(mustardramp.RecordChange, e.contracts.Merge)
+	e.exchange.Watch(mustardramp.RecordBackend, func(r mustardramp.Record) {
+		if err := e.roster.Merge(e.clock.Now(), r); err != nil {
+			klog.ErrorS(err, "backend-record-refused", "key", r.Key)
+		}
+	})
+	e.exchange.Watch(mustardramp.RecordEvidence, func(r mustardramp.Record) {
+		if err := e.ejector.Merge(e.clock.Now(), r); err != nil {
+			klog.ErrorS(err, "evidence-refused", "key", r.Key)
+		}
+	})
+}
+
+// step takes up the present members and decides the standings of all backends.
+func (e *Entry) step() {
+	if !e.ready.Load() && e.exchange.Ready() {
+		e.ready.Store(true)
+	}
+	members := e.exchange.Members()
+	e.links.set(members)
+	e.services.setHosts(e.liveEntryHosts(members))
+	now := e.clock.Now()
+	if err := e.roster.Expire(now, e.ejector.Work); err != nil {
+		klog.ErrorS(err, "roster-not-expired")
+	}
+	for name, r := range e.services.all() {
+		r.update(e.ejector.Step(now, name, e.roster.View(name)))
+	}
+}
+
+func (e *Entry) liveEntryHosts(members []membership.Member) []lease.Host {
+	hosts := []lease.Host{{Name: e.config.Name, Place: e.config.Place}}
+	for _, m := range members {
+		if m.Host.Role == membership.Entry && m.Standing <= membership.Suspect {
+			hosts = append(hosts, lease.Host{Name: m.Host.Name, Place: m.Host.Place})
+		}
+	}
+	return hosts
+}
+
+// report spreads this host's evidence.
+func (e *Entry) report() {
+	record, err := e.ejector.Report(e.clock.Now())
+	if err != nil {
+		klog.ErrorS(err, "evidence-not-reported")
+		return
+	}
+	e.exchange.Offer(record)
+}
+
+func (e *Entry) announcements() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(announce.Path, announcement.New(announcement.Config{
 		Roster:    &e.roster,
 		Contracts: e.contracts.Set,
 		Clock:     e.clock,
 		Tokens:    []string{e.config.AnnounceToken},
-	})
+	}))
+	mux.HandleFunc(ReadyPath, e.traffic.Readiness)
+	return mux
 }
 
 func (e *Entry) administration() http.Handler {
@@ -156,57 +357,7 @@
 		Clock:     e.clock,
 		Contracts: &e.contracts,
 		Refusals:  &e.refusals,
-		Dial:      dialAdmin,
-	})
-}
-
-func dialAdmin(address string) (*remote.Client, error) {
-	return remote.Dial(remote.Target{Address: address})
-}
-
-// follow asks the control hosts for the contracts in force.
-func (e *Entry) follow(ctx context.Context) error {
-	return every(ctx, confirmPause, func() {
-		entries, err := e.contracts.Remote.Confirmed(ctx)
-		if err != nil {
-			klog.V(1).InfoS("control-silent", "cause", err)
-			return
-		}
-		for _, entry := range entries {
-			if record, err := entry.Record(); err == nil {
-				e.contracts.Merge(record)
-			}
-		}
-	})
-}
-
-// step decides the standings of all backends again and again.
-func (e *Entry) step(ctx context.Context) error {
-	return every(ctx, stepPause, func() {
-		for _, c := range e.contracts.Set().Contracts() {
-			r := e.services.running(c.Service)
-			if r == nil {
-				continue
-			}
-			var standings []mustardramp.Standing
-			for _, b := range e.roster.View(c.Service) {
-				standings = append(standings, mustardramp.Standing{Backend: b, Weight: 1})
-			}
-			r.update(standings)
-		}
+		Fleet:     &entryView{e},
+		Dial:      dialAdmin(e.config.AdminTLS),
 	})
 }
-
-// every calls fn again and again until the context ends.
-func every(ctx context.Context, pause time.Duration, fn func()) error {
-	ticker := time.NewTicker(pause)
-	defer ticker.Stop()
-	for {
-		fn()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
--- /dev/null
+++ b/internal/host/links.go
@@ -0,0 +1,120 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"net/netip"
+	"sync"
+
+	"github.com/zeebo/errs"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/lease"
+	"github.com/mustardramp/mustardramp/internal/link"
+	"github.com/mustardramp/mustardramp/internal/membership"
+)
+
+// ErrHost is the class of errors for hosts that are not known.
+var ErrHost = errs.Class("host")
+
+// Methods of the link between hosts.
+const (
+	methodAsk    = "lease/ask"
+	methodReport = "lease/report"
+	methodState  = "host/state"
+)
+
+// links holds one link to each host that this one calls by name.
+type links struct {
+	tls *tls.Config
+
+	mu      sync.Mutex
+	members map[mustardramp.HostName]membership.Member
+	clients map[mustardramp.HostName]*link.Client
+}
+
+// set takes in the present members.
+func (l *links) set(members []membership.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = make(map[mustardramp.HostName]membership.Member, len(members))
+	for _, m := range members {
+		l.members[m.Host.Name] = m
+	}
+	for name, client := range l.clients {
+		if m, ok := l.members[name]; !ok || m.Host.Address != client.Address {
+			_ = client.Close()
+			delete(l.clients, name)
+		}
+	}
+}
+
+// to returns the link to a host.
+func (l *links) to(host mustardramp.HostName) (link.Caller, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c, ok := l.clients[host]; ok {
+		return c, nil
+	}
+	m, ok := l.members[host]
+	if !ok {
+		return nil, ErrHost.New("host %s is not known here", host)
+	}
+	if l.clients == nil {
+		l.clients = map[mustardramp.HostName]*link.Client{}
+	}
+	c := &link.Client{Address: m.Host.Address, TLS: l.tls}
+	l.clients[host] = c
+	return c, nil
+}
+
+// admin returns the address of a host's administration API.
+func (l *links) admin(host mustardramp.HostName) (netip.AddrPort, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m, ok := l.members[host]
+	return m.Host.Service, ok
+}
+
+// Ask implements lease.Peers.
+func (l *links) Ask(ctx context.Context, host mustardramp.HostName, ask lease.Ask) (lease.Grant, error) {
+	c, err := l.to(host)
+	if err != nil {
+		return lease.Grant{}, err
+	}
+	return link.Call[lease.Grant](ctx, c, methodAsk, ask)
+}
+
+// Report implements lease.Peers.
+func (l *links) Report(ctx context.Context, host mustardramp.HostName, report lease.Report) error {
+	c, err := l.to(host)
+	if err != nil {
+		return err
+	}
+	_, err = link.Call[struct{}](ctx, c, methodReport, report)
+	return err
+}
+
+// hostState is what a host says of itself when it is asked.
+type hostState struct {
+	// Index is of the newest change in force.
+	Index mustardramp.Index `cbor:"1,keyasint"`
+	Ready bool              `cbor:"2,keyasint"`
+}
+
+// state asks a host for its state.
+func (l *links) state(ctx context.Context, host mustardramp.HostName) (hostState, error) {
+	c, err := l.to(host)
+	if err != nil {
+		return hostState{}, err
+	}
+	return link.Call[hostState](ctx, c, methodState, struct{}{})
+}
+
+func (l *links) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.clients {
+		_ = c.Close()
+	}
+}
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -1,11 +1,13 @@
 package host
 
 import (
+	"context"
 	"hash/fnv"
 	"sync/atomic"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/entry"
+	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/pool"
 	"github.com/mustardramp/mustardramp/internal/retry"
 	"github.com/mustardramp/mustardramp/pkg/contract"
@@ -13,8 +15,9 @@
 
 // running is the running part of one service on an entry host.
 type running struct {
-	pool   *pool.Pool
+	pool   *lease.Pool
 	budget *retry.Budget
+	counts counts
 	entry  entry.Service
 	// standings are the ones that the pool holds, for operators.
 	standings atomic.Pointer[[]mustardramp.Standing]
@@ -37,10 +40,12 @@
 // services holds the running parts of all services. Requests read the map
 // through an atomic pointer; one writer replaces it.
 type services struct {
-	host  mustardramp.HostName
-	place mustardramp.Place
-	clock mustardramp.Clock
-	byID  atomic.Pointer[map[mustardramp.ServiceName]*running]
+	holder lease.Holder
+	place  mustardramp.Place
+	clock  mustardramp.Clock
+	peers  lease.Peers
+	link   pool.Link
+	byName atomic.Pointer[map[mustardramp.ServiceName]*running]
 }
 
 // Service implements entry.Services.
@@ -52,8 +57,13 @@
 }
 
 func (s *services) running(name mustardramp.ServiceName) *running {
-	if m := s.byID.Load(); m != nil {
-		return (*m)[name]
+	return s.all()[name]
+}
+
+// all returns the present map, which is not changed.
+func (s *services) all() map[mustardramp.ServiceName]*running {
+	if m := s.byName.Load(); m != nil {
+		return *m
 	}
 	return nil
 }
@@ -72,26 +82,46 @@
 		}
 		next[c.Service] = r
 	}
-	s.byID.Store(&next)
+	s.byName.Store(&next)
 }
 
 func (s *services) start(c *contract.Contract) *running {
-	budget := retry.New(c.Budget)
-	p := pool.New(pool.Config{
-		Terms:   pool.TermsOf(c),
-		Place:   s.place,
-		Results: budget,
-		Clock:   s.clock,
-		Seed:    s.seed(c.Service),
+	r := &running{budget: retry.New(c.Budget)}
+	r.pool = lease.New(lease.Config{
+		Pool: pool.Config{
+			Terms:   pool.TermsOf(c),
+			Place:   s.place,
+			Link:    s.link,
+			Results: r.budget,
+			Clock:   s.clock,
+			Seed:    s.seed(c.Service),
+		},
+		Holder: s.holder,
+		Peers:  s.peers,
 	})
-	return &running{pool: p, budget: budget, entry: entry.Service{Pool: p, Budget: budget}}
+	r.entry = entry.Service{Pool: &countedPool{Pool: r.pool, counts: &r.counts}, Budget: r.budget}
+	return r
 }
 
 // seed differs between hosts and services, so that hosts do not choose alike.
 func (s *services) seed(service mustardramp.ServiceName) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(s.host))
+	_, _ = h.Write([]byte(s.holder.Host))
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(service))
 	return h.Sum64()
 }
+
+// step lets the leases of all services age.
+func (s *services) step(ctx context.Context) {
+	for _, r := range s.all() {
+		r.pool.Step(ctx)
+	}
+}
+
+// setHosts hands the list of live entry hosts to all services.
+func (s *services) setHosts(hosts []lease.Host) {
+	for _, r := range s.all() {
+		r.pool.SetHosts(hosts)
+	}
+}
--- a/pkg/cmd/entry/serve/serve.go
+++ b/pkg/cmd/entry/serve/serve.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	return entry.Run(ctx)
+	return entry.Run(ctx, o.factory.CutContext())
 }
 
 func (o *Options) config() (host.EntryConfig, error) {
--- a/pkg/cmd/factory/factory.go
+++ b/pkg/cmd/factory/factory.go
@@ -3,6 +3,7 @@
 package factory
 
 import (
+	"context"
 	"io"
 	"os"
 
@@ -34,6 +35,17 @@
 	Dial func(admin.Target) (*admin.Client, error)
 	// Version is the version of the program.
 	Version string
+	// Cut ends when the operator cuts what a graceful stop waits for; it may
+	// be nil.
+	Cut context.Context
+}
+
+// CutContext returns Cut, or a context that never ends.
+func (f *Factory) CutContext() context.Context {
+	if f.Cut == nil {
+		return context.Background()
+	}
+	return f.Cut
 }
 
 // New returns the factory of the real program.
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
 
 	backendlist "github.com/mustardramp/mustardramp/pkg/cmd/backend/list"
 	"github.com/mustardramp/mustardramp/pkg/cmd/contract/check"
@@ -106,11 +107,33 @@
 	}
 }
 
-// Main runs the command line and returns the exit code.
+// Main runs the command line and returns the exit code. The first interrupt or
+// SIGTERM stops gracefully, the second cuts what the stop waits for.
 func Main(programVersion string, args []string) factory.ExitCode {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	ctx, stop := context.WithCancel(context.Background())
+	cutContext, cut := context.WithCancel(context.Background())
 	defer stop()
-	return Run(ctx, factory.New(programVersion), args)
+	defer cut()
+	var group errgroup.Group
+	group.Go(func() error {
+		for _, act := range []context.CancelFunc{stop, cut} {
+			if _, ok := <-signals; !ok {
+				break
+			}
+			act()
+		}
+		return nil
+	})
+	f := factory.New(programVersion)
+	f.Cut = cutContext
+	code := Run(ctx, f, args)
+	signal.Stop(signals)
+	close(signals)
+	_ = group.Wait()
+	return code
 }
 
 // Run parses the arguments and runs their command.
