--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -22,9 +22,16 @@
 	}
 }
 
+// handleChange passes the question of a host that is no member on to the leader,
+// which the host may not know. The leader's answer to a member needs no second
+// way.
 func (c *core) handleChange(m Message) {
-	if c.role == leader && m.Change != nil {
-		c.makeChange(*m.Change)
+	if m.Change == nil {
+		return
+	}
+	_, isMember := c.membership().Member(m.From)
+	if c.role == leader || !isMember {
+		c.change(*m.Change)
 	}
 }
 
--- a/internal/quorum/seeded_test.go
+++ b/internal/quorum/seeded_test.go
@@ -50,19 +50,40 @@
 			}
 		}
 		return true
-	})
+	}, f.explain)
+}
+
+// explain lists what each member knows.
+func (f *fleet) explain() string {
+	f.wires.mu.Lock()
+	defer f.wires.mu.Unlock()
+	text := ""
+	for host, g := range f.wires.groups {
+		if g != nil {
+			text += fmt.Sprintf("\n%s: %+v", host, g.Status())
+		}
+	}
+	return text
 }
 
-func await(t testing.TB, what string, holds func() bool) {
+func await(t testing.TB, what string, holds func() bool, explain ...func() string) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !holds(); {
 		if time.Now().After(end) {
-			t.Fatalf("not reached: %s", what)
+			t.Fatalf("not reached: %s", what+explainAll(explain))
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
 }
 
+func explainAll(list []func() string) string {
+	text := ""
+	for _, explain := range list {
+		text += "; " + explain()
+	}
+	return text
+}
+
 // TestSeededGroupForms starts the hosts in any order, with pauses: the group
 // must grow to its size, and be one.
 func TestSeededGroupForms(t *testing.T) {
