Wait for a sound backend before taking a risk; changes come with the quorum's word

Timeouts of callers with little time counted as illness. After a loss of power hosts waited for the configuration to spread. Change: a request takes the risk of a backend that failed once at once, and more the longer it waits, up to 500 ms. A timeout counts when the answer was late. A control host answers a started host with the changes that it lacks. Dials end after 400 ms and cost no budget, since nothing has left.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -35,6 +35,9 @@
 	// repeatable is true when the contract or the proof that nothing ran
 	// allows another attempt.
 	repeatable bool
+	// unsent is true when no byte left: another attempt adds no load to the
+	// service, and costs no budget.
+	unsent bool
 	// denial explains a failure. It is set unless relayed is true.
 	denial *mustardramp.Denial
 	// answer is a backend's whole answer that may still be relayed when no
@@ -303,12 +306,14 @@
 	x := a.x
 	wrote := a.wire != nil && a.wire.fence()
 	if wrote {
+		x.sends++
 		x.mayHaveRun()
 	}
 	result, denial := a.judge(err, wrote)
 	a.release(result)
 	return &outcome{
 		denial:     denial,
+		unsent:     !wrote,
 		repeatable: result != mustardramp.ResultAbandoned && (!wrote || x.route.Idempotent()),
 	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -38,7 +38,9 @@
 	// NotRun over MayHaveRun to Ran, never back.
 	verdict mustardramp.Verdict
 	tried   []mustardramp.BackendID
-	wait    time.Duration
+	// sends counts the attempts of which a byte may have left.
+	sends int
+	wait  time.Duration
 	sent    mustardramp.Bytes
 	kind    mustardramp.RefusalKind
 	// begun is true once the answer's status has been written.
@@ -306,8 +308,10 @@
 		return false
 	case x.r.Context().Err() != nil || !now.Before(x.deadline):
 		return false
-	case len(x.tried) >= x.maxAttempts():
+	case x.sends >= x.maxAttempts() || len(x.tried) >= mostDials:
 		return false
+	case last.unsent:
+		return true
 	}
 	return x.service.Budget != nil && x.service.Budget.Allow(x.route.Rank, now)
 }
@@ -316,6 +320,10 @@
 // sent to.
 const maxAttempts = 3
 
+// mostDials bounds the backends that one request tries to reach, whether a byte
+// left or not.
+const mostDials = 6
+
 func (x *exchange) maxAttempts() int {
 	if x.route.Tries > 0 {
 		return x.route.Tries
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -34,6 +34,7 @@
 func (a *attempt) receive(response *http.Response) *outcome {
 	defer response.Body.Close()
 	x := a.x
+	x.sends++
 	a.status = response.StatusCode
 	a.restoreConnection(response)
 	if result, ok := a.shed(response); ok {
@@ -154,7 +155,7 @@
 
 // mayHold reports whether another attempt could replace a failed answer.
 func (x *exchange) mayHold() bool {
-	return len(x.tried) < x.maxAttempts() && x.body.replayable()
+	return x.sends < x.maxAttempts() && x.body.replayable()
 }
 
 func resultOf(status int) mustardramp.Result {
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -11,7 +11,9 @@
 
 // Limits of the connections to backends.
 const (
-	dialTimeout         = 2 * time.Second
+	// dialTimeout is many times the way to the other region and back; nothing
+	// has left by then, so that another backend may be tried.
+	dialTimeout         = 400 * time.Millisecond
 	idleTimeout         = 4 * time.Second
 	continueTimeout     = 5 * time.Second
 	maxAnswerHeader     = 256 << 10
--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -10,13 +10,29 @@
 	"github.com/mustardramp/mustardramp/internal/membership"
 )
 
+// confirmedState is what a quorum confirmed. Changes holds the changes where they
+// differ from those of the host that asked, so that it need not wait for them
+// to spread.
+type confirmedState struct {
+	State   State  `cbor:"1,keyasint"`
+	Changes []byte `cbor:"2,keyasint,omitempty"`
+}
+
 // confirmed answers with the state that a quorum confirms. A control host that
 // is cut off from the others has none to give.
-func (e *Exchange) confirmed(ctx context.Context, _ struct{}) (State, error) {
+func (e *Exchange) confirmed(ctx context.Context, theirs State) (confirmedState, error) {
 	if err := e.options.Log.Confirm(ctx); err != nil {
-		return State{}, err
+		return confirmedState{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply := confirmedState{State: e.core.Node.State()}
+	if reply.State == theirs {
+		return reply, nil
 	}
-	return e.State(), nil
+	var err error
+	reply.Changes, err = e.core.Node.packChanges()
+	return reply, err
 }
 
 // confirmLog keeps up the readiness of a control host.
@@ -66,14 +82,20 @@
 func (e *Exchange) confirmFrom(ctx context.Context, control membership.Host) {
 	client := &link.Client{Address: control.Address, TLS: e.options.TLS, Timeout: callTime}
 	defer func() { _ = client.Close() }()
-	state, err := link.Call[State](ctx, client, methodState, struct{}{})
+	reply, err := link.Call[confirmedState](ctx, client, methodState, e.State())
 	if err != nil {
 		klog.V(1).InfoS("quorum-read-failed", "host", control.Name, "cause", err)
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.core.Node.Confirm(state)
+	records, err := e.core.Node.unpackChanges(reply.Changes)
+	if err != nil {
+		klog.ErrorS(err, "response-unreadable", "peer", control.Name)
+		return
+	}
+	e.took(e.core.Offer(e.now(), records...))
+	e.core.Node.Confirm(reply.State)
 }
 
 // sleep waits, and reports false when the context ended first.
--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -38,16 +38,7 @@
 // Incarnation returns the newest incarnation of an instance that has announced
 // itself, or false.
 func (c *Control) Incarnation(instance string) (mustardramp.Incarnation, bool) {
-	var newest mustardramp.Incarnation
-	found := false
-	for _, view := range c.roster.Views() {
-		for i := range view {
-			if view[i].Instance == instance && view[i].Incarnation >= newest {
-				newest, found = view[i].Incarnation, true
-			}
-		}
-	}
-	return newest, found
+	return c.roster.Incarnation(instance)
 }
 
 // Publish commits a routing table. One that is no newer than the table in force
--- a/internal/pool/choice.go
+++ b/internal/pool/choice.go
@@ -19,7 +19,9 @@
 	members []*member
 	tried   []mustardramp.BackendID
 	place   mustardramp.Place
-	at      int64
+	// limit is the risk from which members are passed over.
+	limit float64
+	at    int64
 	roll    uint64
 }
 
@@ -31,7 +33,7 @@
 // Room reports whether option i may take the attempt.
 func (c *Choice) Room(i int) bool {
 	m := c.members[i]
-	return m.room(c.at) && !slices.Contains(c.tried, m.backend.ID)
+	return m.room(c.at) && !slices.Contains(c.tried, m.backend.ID) && m.isSound(c.at, c.limit)
 }
 
 // Fill returns the share of the limit of option i that one more attempt would
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,7 +125,7 @@
 		return Lease{}, nil, c.past(demand)
 	}
 	if c.queued.Load() == 0 {
-		if m := c.try(now, &demand); m != nil {
+		if m := c.try(now, &demand, now); m != nil {
 			return c.lease(now, m, demand.Rank), nil, nil
 		}
 	}
@@ -233,7 +234,7 @@
 	for c.queue.Total() > 0 && c.anyRoom(now) {
 		var m *member
 		item := c.queue.Next(now, costs, func(item *queue.Item[*Ticket]) bool {
-			m = c.try(now, &item.Value.demand)
+			m = c.try(now, &item.Value.demand, item.Added)
 			return m != nil
 		})
 		if item == nil {
@@ -288,14 +289,52 @@
 	}
 }
 
+const (
+	// riskLimit is the risk that a request takes at once: that of a backend
+	// whose work has been well and that failed once.
+	riskLimit = 0.55
+	// riskPatience is how long a request waits before it takes any risk. It is
+	// a few times the mean work of both sites' services, and well within the
+	// shortest target.
+	riskPatience = 500 * time.Millisecond
+	// riskStep is the time after which waiting requests are offered to riskier
+	// backends.
+	riskStep = 50 * time.Millisecond
+	// anyRisk is above every risk.
+	anyRisk = 2
+)
+
+// riskLimitOf returns the risk that a request takes that came at a time. The
+// limit grows while it waits, so that room at backends that may be well is used
+// when the well ones are full. It answers a burst while a third of the backends
+// are ill. Where no backend is left below the limit, there is nothing to wait
+// for.
+func (c *Core) riskLimitOf(v *view, demand *mustardramp.Demand, now, added time.Time) float64 {
+	waited := now.Sub(added)
+	if !c.flat || waited >= riskPatience {
+		return anyRisk
+	}
+	limit := riskLimit + (1-riskLimit)*float64(waited)/float64(riskPatience)
+	at := now.UnixNano()
+	for _, tier := range v.tiers {
+		for _, m := range tier {
+			if m.isSound(at, limit) && m.open(at) && !slices.Contains(demand.Tried, m.backend.ID) {
+				return limit
+			}
+		}
+	}
+	return anyRisk
+}
+
 // try takes a place at a backend with room, nearest first, or returns nil.
-func (c *Core) try(now time.Time, demand *mustardramp.Demand) *member {
+func (c *Core) try(now time.Time, demand *mustardramp.Demand, added time.Time) *member {
 	v := c.view.Load()
 	at := now.UnixNano()
 	roll := c.roll()
 	if m := tryTrial(v, demand, at, roll); m != nil {
 		return m
 	}
+	limit := c.riskLimitOf(v, demand, now, added)
 	for d, tier := range v.tiers {
 		if len(tier) == 0 {
 			continue
@@ -304,7 +343,7 @@
 		if across && !c.crossingPays(v) {
 			continue
 		}
-		m := c.choose(tier, demand, at, roll)
+		m := c.choose(tier, demand, at, roll, limit)
 		if m == nil {
 			continue
 		}
@@ -322,8 +361,8 @@
 }
 
 // choose takes a place at one member of a tier.
-func (c *Core) choose(tier []*member, demand *mustardramp.Demand, at int64, roll uint64) *member {
-	choice := Choice{members: tier, tried: demand.Tried, place: demand.Place, at: at, roll: roll}
+func (c *Core) choose(tier []*member, demand *mustardramp.Demand, at int64, roll uint64, limit float64) *member {
+	choice := Choice{members: tier, tried: demand.Tried, place: demand.Place, limit: limit, at: at, roll: roll}
 	for range enterTries {
 		var i int
 		if c.strategy == nil {
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -123,16 +123,20 @@
 		learn(&m.latency, latency)
 		learn(m.usual, latency)
 	}
-	if result.Failed() {
+	sign := m.symptom(result, latency)
+	if result.Failed() && sign != noSign {
 		m.haunt(latency, now)
 	}
-	m.belief.observe(now.UnixNano(), m.symptom(result, latency))
+	m.belief.observe(now.UnixNano(), sign)
 }
 
 // symptom says what a result shows of the backend's health. An answer that took
 // far longer than usual is as bad a sign as a failure.
 func (m *member) symptom(result mustardramp.Result, latency time.Duration) symptom {
 	switch {
+	case result == mustardramp.ResultTimeout && !m.isLate(latency):
+		// The caller had little time.
+		return noSign
 	case result.Failed():
 		return sign
 	case result != mustardramp.ResultGood:
@@ -154,6 +158,11 @@
 	return usual > 0 && float64(latency) > lateFactor*float64(usual)
 }
 
+// isSound reports whether the member's risk is one that a request takes.
+func (m *member) isSound(at int64, limit float64) bool {
+	return m.risk(at) < limit
+}
+
 // risk is how likely an attempt is to fail that begins now. An attempt that has
 // been under way for too long raises it before it ends.
 func (m *member) risk(at int64) float64 {
--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -34,6 +34,19 @@
 	}
 }
 
+// Incarnation returns the newest incarnation of an instance that is known, one
+// that departed included.
+func (r *Roster) Incarnation(instance string) (mustardramp.Incarnation, bool) {
+	d, found := r.departed[instance]
+	newest := d.incarnation
+	for _, e := range r.entries {
+		if b := e.statement.Backend; b.Instance == instance {
+			newest, found = max(newest, b.Incarnation), true
+		}
+	}
+	return newest, found
+}
+
 func (r *Roster) hasDeparted(b mustardramp.Backend) bool {
 	if b.Instance == "" {
 		return false
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -46,6 +46,13 @@
 	})
 }
 
+// Incarnation is Roster.Incarnation.
+func (t *Table) Incarnation(instance string) (mustardramp.Incarnation, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.roster.Incarnation(instance)
+}
+
 // Merge is Roster.Merge.
 func (t *Table) Merge(now time.Time, record mustardramp.Record) error {
 	return t.write(func(r *Roster) ([]mustardramp.Record, error) { return r.Merge(now, record) })
