Started hosts ask the seeds for the state, and get the backends with it

Cause: after a loss of power of all machines a quorum stood at 34.5 s, and the first host served at 35.4 s: it learned of control hosts by the exchange, whose next call was due later, and of backends after that. Change: a host that is not ready asks seeds and known control hosts in turn; the answer brings the changes and the backends.

--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,12 +12,16 @@
 	"github.com/mustardramp/mustardramp/internal/membership"
 )
 
-// confirmedState is what a quorum confirmed. Changes holds the changes where they
-// differ from those of the host that asked, so that it need not wait for them
-// to spread.
+// askPause is the pause between two questions of a started host for the present
+// state: it refuses all requests until it knows it.
+const askPause = 150 * time.Millisecond
+
+// confirmedState is what a quorum confirmed. Records holds what a started host
+// needs to serve when its changes differ, so that it need not wait for it to
+// spread.
 type confirmedState struct {
 	State   State  `cbor:"1,keyasint"`
-	Changes []byte `cbor:"2,keyasint,omitempty"`
+	Records []byte `cbor:"2,keyasint,omitempty"`
 }
 
 // confirmed answers with the state that a quorum confirms. A control host that
@@ -31,7 +37,7 @@
 		return reply, nil
 	}
 	var err error
-	reply.Changes, err = e.core.Node.packChanges()
+	reply.Records, err = e.core.Node.packStart()
 	return reply, err
 }
 
@@ -58,10 +64,10 @@
 // this host is ready.
 func (e *Exchange) confirmFromControl(ctx context.Context) error {
 	for turn := 0; !e.Ready(); turn++ {
-		if control := e.controlHosts(); len(control) > 0 {
+		if control := e.controlAddresses(); len(control) > 0 {
 			e.confirmFrom(ctx, control[turn%len(control)])
 		}
-		if !sleep(ctx, recheck) {
+		if !sleep(ctx, askPause) {
 			return ctx.Err()
 		}
 	}
@@ -69,29 +75,31 @@
 	return nil
 }
 
-func (e *Exchange) controlHosts() []membership.Host {
-	var out []membership.Host
+// controlAddresses lists the control hosts that are known and the seeds, which
+// may be the only way to one after a start.
+func (e *Exchange) controlAddresses() []netip.AddrPort {
+	out := slices.Clone(e.options.Seeds)
 	for _, m := range e.Members() {
-		if m.Host.Role == membership.Control && m.Standing != membership.Lost {
-			out = append(out, m.Host)
+		if m.Host.Role == membership.Control && m.Standing != membership.Lost && !slices.Contains(out, m.Host.Address) {
+			out = append(out, m.Host.Address)
 		}
 	}
 	return out
 }
 
-func (e *Exchange) confirmFrom(ctx context.Context, control membership.Host) {
-	client := &link.Client{Address: control.Address, TLS: e.options.TLS, Timeout: callTime}
+func (e *Exchange) confirmFrom(ctx context.Context, control netip.AddrPort) {
+	client := &link.Client{Address: control, TLS: e.options.TLS, Timeout: callTime}
 	defer func() { _ = client.Close() }()
 	reply, err := link.Call[confirmedState](ctx, client, methodState, e.State())
 	if err != nil {
-		klog.V(1).InfoS("quorum-read-failed", "host", control.Name, "cause", err)
+		klog.V(1).InfoS("quorum-read-failed", "host", control, "cause", err)
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	records, err := e.core.Node.unpackChanges(reply.Changes)
+	records, err := e.core.Node.unpackStart(reply.Records)
 	if err != nil {
-		klog.ErrorS(err, "response-unreadable", "peer", control.Name)
+		klog.ErrorS(err, "response-unreadable", "peer", control)
 		return
 	}
 	e.took(e.core.Offer(e.now(), records...))
--- /dev/null
+++ b/internal/exchange/start.go
@@ -0,0 +1,21 @@
+package exchange
+
+import (
+	"slices"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// packStart encodes what a started host needs to serve: all changes and
+// backends held.
+func (n *Node) packStart() ([]byte, error) {
+	return n.packer.pack(slices.Concat(n.store.list(mustardramp.RecordChange), n.store.list(mustardramp.RecordBackend)))
+}
+
+// unpackStart reads what packStart encoded; nothing stands for no records.
+func (n *Node) unpackStart(packed []byte) ([]mustardramp.Record, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	return n.packer.unpack(packed)
+}
