Ramps as the service says; failed dials show the path; one window for further attempts

Hosts that lost their path to some backends made these look ill to all. 305 sheds were refused although the fleet's budget had room. Change: ramp of 2 s for services of a table; a host avoids a backend that it could not dial for 2 s, and such a dial weighs little at the keeper; the keeper's window counts further attempts; a request that misses its target in any case takes any risk.

--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -19,6 +19,9 @@
 	Floor mustardramp.Percent
 	// Caution is the accepted rate of false ejections per backend and day.
 	Caution float64
+	// Ramp is the time from the least weight to full work after a start; zero
+	// stands for rampSpan.
+	Ramp time.Duration
 }
 
 // defaultTerms are those of a service whose contract is not known.
@@ -103,6 +106,7 @@
 	e.tally.Prepare(now, name, backends)
 	s := e.service(name)
 	terms := e.terms(name)
+	s.ramp = e.terms(name).Ramp
 	s.sync(now, backends, e.members, func(id mustardramp.BackendID) time.Time { return e.tally.Leaving(name, id) })
 	s.gather(now, &e.tally, e.fleet.Take(name), e.Place.Zone)
 	s.judge(now, terms)
--- a/internal/ejection/member.go
+++ b/internal/ejection/member.go
@@ -73,6 +73,8 @@
 // member is what this host knows of one backend and decided about it.
 type member struct {
 	backend mustardramp.Backend
+	// ramp is the service's own span of a ramp, or 0.
+	ramp time.Duration
 	handle  evidence.Handle
 	// since is when this host learned of the incarnation.
 	since time.Time
@@ -201,10 +203,17 @@
 	if m.phase != ramping {
 		return 1
 	}
-	part := float64(now.Sub(m.entered)) / float64(rampSpan)
+	part := float64(now.Sub(m.entered)) / float64(m.rampSpan())
 	return min(1, firstWeight+(1-firstWeight)*part)
 }
 
+func (m *member) rampSpan() time.Duration {
+	if m.ramp > 0 {
+		return m.ramp
+	}
+	return rampSpan
+}
+
 // advance moves the backend on when its time has come.
 func (m *member) advance(now time.Time, limits thresholds) {
 	spent := now.Sub(m.entered)
@@ -217,7 +226,7 @@
 	case tried:
 		m.endTrial(now, limits)
 	case ramping:
-		if spent >= rampSpan {
+		if spent >= m.rampSpan() {
 			m.readmit(now, steady, "")
 		}
 	case steady:
--- a/internal/ejection/service.go
+++ b/internal/ejection/service.go
@@ -9,6 +9,8 @@
 
 // service is what this host knows and decides of one service.
 type service struct {
+	// ramp is the span of a ramp as the terms say, or 0.
+	ramp time.Duration
 	name mustardramp.ServiceName
 	// members are in the order of the roster of the last step.
 	members []*member
@@ -55,6 +57,7 @@
 			m = newMember(now, b)
 			s.admit(now, m)
 		}
+		m.ramp = s.ramp
 		s.update(now, m, b)
 		m.left = m.left || left(b.ID).After(m.since)
 		if m.left && m.backend.State < mustardramp.Leaving {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -415,12 +415,17 @@
 	return mustardramp.ResultShed, true
 }
 
+// shedReturn is when a caller may come back after a shed without a time of the
+// backend's own: some backends shed a part of their requests at random.
+const shedReturn = 300 * time.Millisecond
+
 func (a *attempt) shedDenial(response *http.Response) *mustardramp.Denial {
 	denial := &mustardramp.Denial{
 		Kind:   mustardramp.KindShed,
 		Reason: "the backend declared that it did not run the request",
 		Facts:  a.facts("status", strconv.Itoa(response.StatusCode)),
 	}
+	denial.RetryAfter = a.x.h.spreadOut(shedReturn)
 	if s, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && s > 0 {
 		denial.RetryAfter = time.Duration(s) * time.Second
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -198,6 +199,12 @@
 	return h.settler.stop(ctx)
 }
 
+// spreadOut varies a time by a third either way, so that callers do not come back
+// together.
+func (h *Handler) spreadOut(d time.Duration) time.Duration {
+	return d*2/3 + time.Duration(rand.Int64N(int64(d)*2/3+1))
+}
+
 // lasting returns a context that does not end with a request.
 func (h *Handler) lasting() context.Context {
 	return h.bases[h.spread.Add(1)%baseCount].ctx
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -41,8 +41,8 @@
 	// sends counts the attempts of which a byte may have left.
 	sends int
 	wait  time.Duration
-	sent    mustardramp.Bytes
-	kind    mustardramp.RefusalKind
+	sent  mustardramp.Bytes
+	kind  mustardramp.RefusalKind
 	// begun is true once the answer's status has been written.
 	begun bool
 }
@@ -263,12 +263,18 @@
 }
 
 func (x *exchange) demand() mustardramp.Demand {
+	var target time.Time
+	if x.route.Target > 0 {
+		target = x.arrived.Add(x.route.Target)
+	}
 	return mustardramp.Demand{
+		Target:     target,
 		Rank:       x.route.Rank,
 		Caller:     x.caller,
 		Deadline:   x.deadline,
 		Idempotent: x.route.Idempotent(),
 		Tried:      x.tried,
+		Repeat:     x.sends > 0,
 		Size:       x.body.size(x.r),
 	}
 }
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -91,7 +91,7 @@
 
 func (e *Entry) terms(service mustardramp.ServiceName) ejection.Terms {
 	if c := e.contracts.Set().Service(service); c != nil {
-		return ejection.Terms{Floor: c.Floor, Caution: c.Caution}
+		return ejection.Terms{Floor: c.Floor, Caution: c.Caution, Ramp: c.Ramp}
 	}
 	return ejection.Terms{Floor: contract.DefaultFloor, Caution: contract.DefaultCaution}
 }
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"sync/atomic"
+	"time"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/crossing"
@@ -108,11 +109,24 @@
 		},
 		Holder: s.holder,
 		Peers:  s.peers,
+		Slack:  s.slack,
 	})
 	r.entry = entry.Service{Pool: &countedPool{Pool: r.pool, counts: &r.counts}, Budget: r.budget}
+	if c.Pooled {
+		r.entry.Budget = pooledBudget{}
+	}
 	return r
 }
 
+// pooledBudget leaves the budget to the keepers of the slots.
+type pooledBudget struct{}
+
+// Fresh implements mustardramp.RetryBudget.
+func (pooledBudget) Fresh(mustardramp.Rank, time.Time) {}
+
+// Allow implements mustardramp.RetryBudget.
+func (pooledBudget) Allow(mustardramp.Rank, time.Time) bool { return true }
+
 // seed differs between hosts and services, so that hosts do not choose alike.
 func (s *services) seed(service mustardramp.ServiceName) uint64 {
 	h := fnv.New64a()
@@ -139,15 +153,9 @@
 	s.link.Configure(crossing.DefaultRate, s.neighbours(hosts))
 	for _, r := range s.all() {
 		r.pool.SetFleet(fleet)
-		r.budget.Slack(s.slackPart(len(hosts)))
 	}
 }
 
-// slackPart is this host's part of the fleet's further attempts.
-func (s *services) slackPart(hosts int) float64 {
-	return float64(s.slack) / float64(max(hosts, 1))
-}
-
 // neighbours counts the hosts that share the link to the other region.
 func (s *services) neighbours(hosts []lease.Host) int {
 	n := 0
--- a/internal/lease/desk.go
+++ b/internal/lease/desk.go
@@ -3,15 +3,20 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/pool"
+	"github.com/mustardramp/mustardramp/internal/retry"
 )
 
 // desk grants leases of one group.
 type desk struct {
 	pool *pool.Pool
+	// window bounds further attempts while pooled is set.
+	window retry.Window
+	pooled atomic.Bool
 
 	mu sync.Mutex
 	// leases holds the asks that wait and the leases that are out.
@@ -47,7 +52,7 @@
 	d.mu.Lock()
 	d.leases[key] = entry
 	d.mu.Unlock()
-	slot, err := d.pool.Acquire(ctx, ask.demand(now()))
+	slot, err := d.acquire(ctx, now(), ask.demand(now()))
 	if err != nil {
 		d.forget(key)
 		return d.denied(ask, err)
@@ -59,6 +64,23 @@
 	return Grant{Backend: slot.Backend(), Wait: d.pool.Pressure(ask.Rank)}, nil
 }
 
+// acquire waits for a slot, unless the attempt is one too many for the service.
+func (d *desk) acquire(ctx context.Context, now time.Time, demand mustardramp.Demand) (mustardramp.Slot, error) {
+	if !d.pooled.Load() {
+		return d.pool.Acquire(ctx, demand)
+	}
+	if !demand.Repeat {
+		d.window.Fresh(now)
+	} else if !d.window.Allow(now) {
+		return nil, &mustardramp.Denial{
+			Kind:       mustardramp.KindPressure,
+			Reason:     "The service has had as many further attempts as it may in ten seconds.",
+			RetryAfter: time.Second,
+		}
+	}
+	return d.pool.Acquire(ctx, demand)
+}
+
 func (d *desk) denied(ask *Ask, err error) (Grant, error) {
 	denial, ok := err.(*mustardramp.Denial)
 	if !ok {
@@ -144,7 +166,10 @@
 
 func (a *Ask) demand(now time.Time) mustardramp.Demand {
 	d := mustardramp.Demand{
-		Rank: a.Rank, Caller: a.Caller, Idempotent: a.Idempotent, Tried: a.Tried, Size: a.Size, Place: a.Place,
+		Rank: a.Rank, Caller: a.Caller, Idempotent: a.Idempotent, Tried: a.Tried, Size: a.Size, Place: a.Place, Repeat: a.Repeat, Wary: a.Wary,
+	}
+	if a.Soon > 0 {
+		d.Target = now.Add(a.Soon)
 	}
 	if a.Left > 0 {
 		d.Deadline = now.Add(a.Left)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -45,6 +45,11 @@
 	Size       mustardramp.Bytes       `json:"size" cbor:"10,keyasint"`
 	// Place is where the request entered the fleet.
 	Place mustardramp.Place `json:"place" cbor:"11,keyasint"`
+	// Soon is the time left to the demand's target; 0 means that there is none.
+	Soon time.Duration `json:"soon,omitempty" cbor:"14,keyasint,omitempty"`
+	// Repeat and Wary are those of the demand.
+	Repeat bool `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"`
+	Wary   bool `json:"wary,omitempty" cbor:"13,keyasint,omitempty"`
 }
 
 // Grant answers an Ask with a lease or a denial.
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -52,7 +52,7 @@
 	}
 	for i := range standings {
 		s := &standings[i]
-		region := s.Backend.Place.Region
+		region := standings[i].Backend.Place.Region
 		parts := (sizes[region] + groupSize - 1) / groupSize
 		id := GroupID{Region: region, Part: int(xxhash.Sum64String(string(s.Backend.ID)) % uint64(parts))}
 		p.group(id, mustardramp.Place{Region: region}).add(s)
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -23,6 +23,10 @@
 	Pool   pool.Config
 	Holder Holder
 	Peers  Peers
+	// Slack is the number of further attempts of the service that the fleet may
+	// make in ten seconds beside the budget's share; it counts where the budget
+	// is pooled.
+	Slack int
 }
 
 // Pool gives out the slots of one service's backends together with the pools
@@ -37,6 +41,9 @@
 	waits sync.Map
 	// peers holds the state of each keeper, by host.
 	peers sync.Map
+	// paths holds the time, in Unix nanoseconds, up to which a backend is not
+	// used by this host, since it could not be reached from here.
+	paths sync.Map
 	// desks holds the desks by group.
 	desks sync.Map
 	group errgroup.Group
@@ -78,8 +85,31 @@
 	for _, d := range p.allDesks() {
 		d.pool.Configure(terms)
 	}
+	p.budgets()
 }
 
+// budgets hands each desk its part of the budget of further attempts. Only the
+// desk of a group's first keeper has slack, so that the desks that stand in for
+// one another do not add up.
+func (p *Pool) budgets() {
+	plan := p.plan.Load()
+	p.desks.Range(func(id, value any) bool {
+		d := value.(*desk)
+		slack := 0.0
+		g := plan.byID[id.(GroupID)]
+		if g != nil && len(g.keepers) > 0 && g.keepers[0] == p.config.Holder.Host {
+			slack = float64(p.config.Slack) * slackShare / float64(len(plan.groups))
+		}
+		d.window.Configure(p.terms.Budget.Of(1), slack)
+		d.pooled.Store(p.terms.Pooled)
+		return true
+	})
+}
+
+// slackShare is the part of the fleet's slack that is used: a keeper that takes
+// over knows nothing of what the one before it allowed.
+const slackShare = 0.8
+
 // Update implements mustardramp.Pool.
 func (p *Pool) Update(standings []mustardramp.Standing) {
 	p.mu.Lock()
@@ -120,10 +150,23 @@
 		d.(*desk).pool.Update(standings)
 		return true
 	})
+	p.budgets()
 }
 
 // Acquire implements mustardramp.Pool.
 func (p *Pool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
+	if demand.Wary = len(p.plan.Load().groups) > 1; demand.Wary {
+		slot, err := p.acquireAny(ctx, demand)
+		if err == nil || !elsewhere(err) {
+			return slot, err
+		}
+		demand.Wary = false
+	}
+	return p.acquireAny(ctx, demand)
+}
+
+// acquireAny asks one group after the other.
+func (p *Pool) acquireAny(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
 	skip := map[GroupID]bool(nil)
 	var last error
 	for range len(p.plan.Load().groups) {
@@ -208,8 +251,8 @@
 	d := p.desk(g.id)
 	local := *demand
 	local.Place = p.config.Pool.Place
-	local.Tried = append(g.shunned[:len(g.shunned):len(g.shunned)], demand.Tried...)
-	held, err := d.pool.Acquire(ctx, local)
+	local.Tried = append(p.shunned(g), demand.Tried...)
+	held, err := d.acquire(ctx, p.clock.Now(), local)
 	p.note(g.id, demand.Rank, d.pool.Pressure(demand.Rank))
 	if err != nil {
 		return nil, err
@@ -258,7 +301,11 @@
 		Service: p.config.Pool.Terms.Service, Group: g.id,
 		Holder: p.config.Holder, Number: Number(p.next.Add(1)),
 		Rank: demand.Rank, Caller: demand.Caller, Idempotent: demand.Idempotent,
-		Tried: append(g.shunned[:len(g.shunned):len(g.shunned)], demand.Tried...), Size: demand.Size, Place: p.config.Pool.Place,
+		Tried: append(p.shunned(g), demand.Tried...), Size: demand.Size,
+		Place: p.config.Pool.Place, Repeat: demand.Repeat, Wary: demand.Wary,
+	}
+	if !demand.Target.IsZero() {
+		ask.Soon = max(demand.Target.Sub(p.clock.Now()), time.Nanosecond)
 	}
 	if !demand.Deadline.IsZero() {
 		ask.Left = max(demand.Deadline.Sub(p.clock.Now()), time.Nanosecond)
@@ -375,6 +422,7 @@
 		d.pool.Update(g.standings)
 	}
 	p.desks.Store(id, d)
+	p.budgets()
 	return d
 }
 
--- a/internal/lease/slot.go
+++ b/internal/lease/slot.go
@@ -23,6 +23,7 @@
 
 // Release implements mustardramp.Slot.
 func (s *slot) Release(result mustardramp.Result, latency time.Duration) {
+	s.pool.notePath(s.backend.ID, result)
 	s.pool.giveBack(s.peer, Return{Number: s.number, Result: result, Latency: latency})
 	s.pool.observe(s.rank, result)
 }
@@ -36,6 +37,7 @@
 
 // Release implements mustardramp.Slot.
 func (s *ownSlot) Release(result mustardramp.Result, latency time.Duration) {
+	s.pool.notePath(s.Backend().ID, result)
 	s.Slot.Release(result, latency)
 	s.pool.observe(s.rank, result)
 }
--- a/internal/pool/belief.go
+++ b/internal/pool/belief.go
@@ -18,6 +18,11 @@
 	// illFails and wellFails are the shares of attempts that fail.
 	illFails  = 0.75
 	wellFails = 0.015
+	// illDials and wellDials are the shares of attempts whose dial fails: a
+	// backend that is gone lets all fail, and a host whose path is bad asks for
+	// the backend only now and then.
+	illDials  = 0.3
+	wellDials = 0.05
 	// newRisk is the risk of a backend that nothing is known of. It is low, so
 	// that one that joins gets work soon.
 	newRisk = 0.05
@@ -35,6 +40,8 @@
 	noSign symptom = iota
 	wellSign
 	sign
+	// dialSign is a failed dial: as likely the path of one host is bad.
+	dialSign
 )
 
 // belief is how likely a backend is ill: a hidden state that changes by itself
@@ -74,8 +81,11 @@
 	defer b.mu.Unlock()
 	prior := b.drift(now)
 	ill, well := illFails, wellFails
-	if s == wellSign {
+	switch s {
+	case wellSign:
 		ill, well = 1-illFails, 1-wellFails
+	case dialSign:
+		ill, well = illDials, wellDials
 	}
 	posterior := prior * ill / (prior*ill + (1-prior)*well)
 	b.risk, b.then = max(leastRisk, min(posterior, mostRisk)), now
--- a/internal/pool/choice.go
+++ b/internal/pool/choice.go
@@ -22,7 +22,7 @@
 	// limit is the risk from which members are passed over.
 	limit float64
 	at    int64
-	roll    uint64
+	roll  uint64
 }
 
 // Len returns the number of options.
--- a/internal/pool/config.go
+++ b/internal/pool/config.go
@@ -15,6 +15,10 @@
 type Terms struct {
 	Service mustardramp.ServiceName
 	Ranks   [mustardramp.RankCount]contract.RankTerms
+	// Budget is the share of fresh requests that further attempts may be, and
+	// Pooled says that it holds for all hosts together.
+	Budget mustardramp.Percent
+	Pooled bool
 	// Capacity is the most requests of one rank that wait; 0 means
 	// queue.DefaultCapacity.
 	Capacity int
@@ -22,7 +26,7 @@
 
 // TermsOf returns the terms of a contract.
 func TermsOf(c *contract.Contract) Terms {
-	return Terms{Service: c.Service, Ranks: c.Ranks}
+	return Terms{Service: c.Service, Ranks: c.Ranks, Budget: c.Budget, Pooled: c.Pooled}
 }
 
 func (t *Terms) queue() (terms [mustardramp.RankCount]queue.Terms) {
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -107,7 +107,9 @@
 func (c *Core) Update(now time.Time, standings []mustardramp.Standing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.view.Store(build(c.view.Load(), c.distance, &c.usual, standings))
+	v := build(c.view.Load(), c.distance, &c.usual, standings)
+	v.each(func(m *member) { m.kept = c.flat })
+	c.view.Store(v)
 	c.dispatch(now)
 }
 
@@ -124,7 +126,7 @@
 	if !demand.Deadline.IsZero() && !now.Before(demand.Deadline) {
 		return Lease{}, nil, c.past(demand)
 	}
-	if c.queued.Load() == 0 {
+	if c.queued.Load() == 0 && (!demand.Wary || c.hasHope(now, c.view.Load(), &demand)) {
 		if m := c.try(now, &demand, now); m != nil {
 			return c.lease(now, m, demand.Rank), nil, nil
 		}
@@ -293,9 +295,11 @@
 	// riskLimit is the risk that a request takes at once: that of a backend
 	// whose work has been well and that failed once.
 	riskLimit = 0.55
-	// riskPatience is how long a request waits before it takes any risk. It is
-	// a few times the mean work of both sites' services, and well within the
-	// shortest target.
+	// mostRiskTaken is the risk that a request takes after riskPatience: half of
+	// the attempts at such a backend are good.
+	mostRiskTaken = 0.75
+	// riskPatience is the time in which the limit grows. It is a few times the
+	// mean work of both sites' services, and within the shortest target.
 	riskPatience = 500 * time.Millisecond
 	// riskStep is the time after which waiting requests are offered to riskier
 	// backends.
@@ -310,20 +314,30 @@
 // are ill. Where no backend is left below the limit, there is nothing to wait
 // for.
 func (c *Core) riskLimitOf(v *view, demand *mustardramp.Demand, now, added time.Time) float64 {
-	waited := now.Sub(added)
-	if !c.flat || waited >= riskPatience {
+	if !c.flat || c.isLost(now, demand) || !c.hasHope(now, v, demand) {
 		return anyRisk
 	}
-	limit := riskLimit + (1-riskLimit)*float64(waited)/float64(riskPatience)
+	part := min(1, float64(now.Sub(added))/float64(riskPatience))
+	return riskLimit + (mostRiskTaken-riskLimit)*part
+}
+
+// isLost reports whether the demand misses its target if it waits any longer.
+func (c *Core) isLost(now time.Time, demand *mustardramp.Demand) bool {
+	return !demand.Target.IsZero() && now.Add(time.Duration(c.usual.Load())).After(demand.Target)
+}
+
+// hasHope reports whether a backend that the demand has not tried is less risky
+// than a request ever takes.
+func (c *Core) hasHope(now time.Time, v *view, demand *mustardramp.Demand) bool {
 	at := now.UnixNano()
 	for _, tier := range v.tiers {
 		for _, m := range tier {
-			if m.isSound(at, limit) && m.open(at) && !slices.Contains(demand.Tried, m.backend.ID) {
-				return limit
+			if m.isSound(at, mostRiskTaken) && m.open(at) && !slices.Contains(demand.Tried, m.backend.ID) {
+				return true
 			}
 		}
 	}
-	return anyRisk
+	return false
 }
 
 // try takes a place at a backend with room, nearest first, or returns nil.
--- a/internal/pool/denial.go
+++ b/internal/pool/denial.go
@@ -38,6 +38,9 @@
 	if left == 0 {
 		return c.exhausted(v, demand)
 	}
+	if demand.Wary && !c.hasHope(now, v, demand) {
+		return c.allIll(v)
+	}
 	if left == far && c.link != nil && !c.link.Allow(demand.Rank, 0, now) {
 		return c.linkFull(demand)
 	}
@@ -64,6 +67,15 @@
 	}
 }
 
+func (c *Core) allIll(v *view) *mustardramp.Denial {
+	return &mustardramp.Denial{
+		Kind:       mustardramp.KindNoBackend,
+		Reason:     "Every usable backend that was not tried yet is likely to be ill.",
+		Facts:      []mustardramp.Fact{count("usable", v.counts.usable)},
+		RetryAfter: comeBack,
+	}
+}
+
 func (c *Core) exhausted(v *view, demand *mustardramp.Demand) *mustardramp.Denial {
 	return &mustardramp.Denial{
 		Kind:   mustardramp.KindNoBackend,
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -58,6 +58,8 @@
 	// ceiling is the number of slots that this host may use; at least 1.
 	ceiling int32
 	trial   bool
+	// kept is true when this host grants all of the backend's slots.
+	kept bool
 	// usual is the mean latency of good answers of the service.
 	usual *atomic.Int64
 }
@@ -112,7 +114,11 @@
 	n := m.inFlight.Add(-1) + 1
 	switch result {
 	case mustardramp.ResultShed:
-		m.shrink(n)
+		if !m.kept {
+			// A keeper knows all that the backend has in flight: a shed within
+			// its slots is no sign of load.
+			m.shrink(n)
+		}
 		m.hold(now.Add(shedHold))
 	case mustardramp.ResultDial:
 		m.hold(now.Add(dialHold))
@@ -123,11 +129,11 @@
 		learn(&m.latency, latency)
 		learn(m.usual, latency)
 	}
-	sign := m.symptom(result, latency)
-	if result.Failed() && sign != noSign {
+	shown := m.symptom(result, latency)
+	if shown == sign {
 		m.haunt(latency, now)
 	}
-	m.belief.observe(now.UnixNano(), sign)
+	m.belief.observe(now.UnixNano(), shown)
 }
 
 // symptom says what a result shows of the backend's health. An answer that took
@@ -137,6 +143,8 @@
 	case result == mustardramp.ResultTimeout && !m.isLate(latency):
 		// The caller had little time.
 		return noSign
+	case result == mustardramp.ResultDial:
+		return dialSign
 	case result.Failed():
 		return sign
 	case result != mustardramp.ResultGood:
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -32,8 +32,6 @@
 	ranks  [mustardramp.RankCount]savings
 	// failing is the moving share of failed attempts, in units.
 	failing atomic.Int64
-	// slack is what the host may spend beyond what requests earn.
-	slack slack
 }
 
 // savings are what one rank may spend.
@@ -66,11 +64,10 @@
 	earned := b.worth()
 	for {
 		old := s.units.Load()
-		most := b.burst()
-		if old >= most {
+		if old >= burst*unit {
 			return
 		}
-		if s.units.CompareAndSwap(old, min(old+earned, most)) {
+		if s.units.CompareAndSwap(old, min(old+earned, burst*unit)) {
 			return
 		}
 	}
@@ -95,15 +92,6 @@
 	}
 }
 
-// burst returns the units that a rank saves up. Where the fleet as a whole is
-// bounded, what its hosts save up together must be small.
-func (b *Budget) burst() int64 {
-	if b.slack.isSet() {
-		return unit
-	}
-	return burst * unit
-}
-
 // worth returns what a fresh request earns now.
 func (b *Budget) worth() int64 {
 	good := unit - b.failing.Load()
@@ -117,7 +105,7 @@
 	for {
 		old := s.units.Load()
 		if old < unit {
-			return b.slack.spend(now)
+			return false
 		}
 		if s.units.CompareAndSwap(old, old-unit) {
 			return true
--- a/path.go
+++ b/path.go
@@ -11,12 +11,19 @@
 	Caller CallerName
 	// Deadline is when the caller no longer wants the answer.
 	Deadline time.Time
+	// Target is the time up to which an answer has its full value, or zero.
+	Target time.Time
 	// Idempotent work may be tried at backends on trial.
 	Idempotent bool
 	// Tried lists the backends of earlier attempts; none is chosen again.
 	Tried []BackendID
 	// Size is the request's length in bytes, or -1 when it is not known.
 	Size Bytes
+	// Repeat is true when an earlier attempt may have reached a backend.
+	Repeat bool
+	// Wary demands are turned away where every backend is likely to be ill, so
+	// that another group is tried first.
+	Wary bool
 	// Place is where the request entered the fleet; its zero value is not
 	// known.
 	Place Place
--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -29,6 +29,12 @@
 	Caution float64
 	// Budget is the share of fresh traffic that retries may add.
 	Budget mustardramp.Percent
+	// Ramp is the time in which a started backend comes to full work; zero stands
+	// for the ejection's own.
+	Ramp time.Duration
+	// Pooled is true when further attempts are bounded for the whole fleet where
+	// slots are granted, and not by each host.
+	Pooled bool
 	// Hedge is true when idempotent reads may be sent a second time early.
 	Hedge bool
 	// Shed names the response header by which a backend declares that it did
--- a/pkg/contract/lookup.go
+++ b/pkg/contract/lookup.go
@@ -12,12 +12,15 @@
 // Budget and shares of the services that only a routing table describes.
 const (
 	// tableBudget leaves the fleet's limit of further attempts, 20 % on both
-	// sites, room for what hosts count differently.
-	tableBudget mustardramp.Percent = 15
+	// sites, room for asks that reach two keepers.
+	tableBudget mustardramp.Percent = 19
 	// tableCaution is the accepted rate of false ejections per backend and day.
 	// The keepers of slots avoid backends that are ill for seconds; ejection is
 	// left to those that stay so.
 	tableCaution = 1e-6
+	// tableRamp is the time in which started backends of the platform come to
+	// full work; they are slow for about three seconds.
+	tableRamp = 2 * time.Second
 	// retryTries is the number of backends that one request of a table route is
 	// sent to when the route does not say.
 	retryTries = 3
@@ -102,6 +105,7 @@
 	for i := range c.Table.Services {
 		s := &c.Table.Services[i]
 		k := defaults()
+		k.Pooled, k.Ramp = true, tableRamp
 		k.Service, k.Revision, k.Source, k.Budget, k.Caution = s.Name, c.Revision, c.Source, tableBudget, tableCaution
 		if s.Connections > 0 {
 			k.Connections = s.Connections
