Long bodies stay in their zone unless they wait; unsafe work waits past its target

Change: the cost of a way grows with the length of the body, for the choice of a backend and of a group; the cost that a request accepts grows while it waits. Only work that may be repeated takes any risk once its target is missed.

--- a/internal/lease/choice.go
+++ b/internal/lease/choice.go
@@ -19,6 +19,16 @@
 	mustardramp.AcrossRegions: 48 * time.Millisecond,
 }
 
+// bytesPerDetour is the length of a body from which its way is worth as much
+// waiting as the way itself.
+const bytesPerDetour = 2 << 10
+
+// detourOf returns the wait that a nearer group is worth to a request. Long
+// bodies are dear on the link between regions.
+func detourOf(d mustardramp.Distance, size mustardramp.Bytes) float64 {
+	return float64(detour[d]) * (1 + float64(max(0, size))/bytesPerDetour)
+}
+
 // stated is what a keeper said of the wait in its queue.
 type stated struct {
 	ranks [mustardramp.RankCount]statement
@@ -67,7 +77,7 @@
 			continue
 		}
 		d := p.config.Pool.Place.To(g.place)
-		cost := p.expected(g.id, demand.Rank, at)*reluctance[d] + float64(detour[d])
+		cost := p.expected(g.id, demand.Rank, at)*reluctance[d] + detourOf(d, demand.Size)
 		if cost < least {
 			best, least = g, cost
 		}
--- a/internal/pool/choice.go
+++ b/internal/pool/choice.go
@@ -19,8 +19,9 @@
 	members []*member
 	tried   []mustardramp.BackendID
 	place   mustardramp.Place
-	// limit is the risk from which members are passed over.
-	limit float64
+	size    mustardramp.Bytes
+	// limit bounds the members that are not passed over.
+	limit limit
 	at    int64
 	roll  uint64
 }
@@ -33,7 +34,7 @@
 // Room reports whether option i may take the attempt.
 func (c *Choice) Room(i int) bool {
 	m := c.members[i]
-	return m.room(c.at) && !slices.Contains(c.tried, m.backend.ID) && m.isSound(c.at, c.limit)
+	return m.room(c.at) && !slices.Contains(c.tried, m.backend.ID) && m.isSound(c.at, c.limit.risk) && c.Way(i) <= c.limit.way
 }
 
 // Fill returns the share of the limit of option i that one more attempt would
@@ -53,6 +54,17 @@
 	return c.members[i].risk(c.at)
 }
 
+// Way returns the cost of the way to option i: that of the detour, and that of
+// the bytes that the request carries there.
+func (c *Choice) Way(i int) float64 {
+	size := c.size
+	if size < 0 {
+		size = unknownSize
+	}
+	w := &ways[c.Distance(i)]
+	return w.detour + w.bytes*float64(size)
+}
+
 // Distance returns how far option i is from where the request entered; unknown
 // places are near.
 func (c *Choice) Distance(i int) mustardramp.Distance {
@@ -140,12 +152,26 @@
 	// fullCost is the cost of the last slot of a backend beside that of a sure
 	// failure: some backends slow down when they are nearly full.
 	fullCost = 0.3
-	// zoneCost and regionCost are the costs of the way to another zone and to
-	// another region.
-	zoneCost   = 0.03
-	regionCost = 0.15
+	// unknownSize stands in for the length of a body sent in chunks: half of the
+	// mean upload of both sites.
+	unknownSize mustardramp.Bytes = 30 << 10
 )
 
+// wayCost is the cost of a distance, in parts of the worth of a request.
+type wayCost struct {
+	// detour is the cost of the time, bytes that of each byte.
+	detour, bytes float64
+}
+
+// ways holds the costs by distance. Bytes between zones and regions are paid by
+// volume: on both sites an upload of 60 KB to another zone costs about what it
+// is worth, and to another region five times as much.
+var ways = [...]wayCost{
+	mustardramp.SameZone:      {},
+	mustardramp.SameRegion:    {detour: 0.03, bytes: 1.0 / (60 << 10)},
+	mustardramp.AcrossRegions: {detour: 0.15, bytes: 5.0 / (60 << 10)},
+}
+
 // Choose implements Strategy.
 func (Soundest) Choose(c *Choice) int {
 	n := c.Len()
@@ -160,7 +186,7 @@
 			continue
 		}
 		use := c.Use(i)
-		cost := c.Risk(i) + fullCost*use*use + wayCosts[c.Distance(i)]
+		cost := c.Risk(i) + fullCost*use*use + c.Way(i)
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -168,12 +194,6 @@
 	return best
 }
 
-var wayCosts = [...]float64{
-	mustardramp.SameZone:      0,
-	mustardramp.SameRegion:    zoneCost,
-	mustardramp.AcrossRegions: regionCost,
-}
-
 // next returns the first option with room from i on, around the end, or -1.
 func next(c *Choice, i int) int {
 	n := c.Len()
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -295,35 +295,59 @@
 	// riskLimit is the risk that a request takes at once: that of a backend
 	// whose work has been well and that failed once.
 	riskLimit = 0.55
-	// mostRiskTaken is the risk that a request takes after riskPatience: half of
-	// the attempts at such a backend are good.
+	// mostRiskTaken is the risk that a request takes after patience: half of the
+	// attempts at such a backend are good.
 	mostRiskTaken = 0.75
-	// riskPatience is the time in which the limit grows. It is a few times the
-	// mean work of both sites' services, and within the shortest target.
-	riskPatience = 500 * time.Millisecond
-	// riskStep is the time after which waiting requests are offered to riskier
-	// backends.
-	riskStep = 50 * time.Millisecond
-	// anyRisk is above every risk.
-	anyRisk = 2
+	// wayLimit is the cost of the way that a request takes at once: a short one
+	// goes anywhere, a long one stays in its zone. mostWayTaken is that after
+	// patience, above that of the longest way of all but the longest bodies.
+	wayLimit     = 0.2
+	mostWayTaken = 8
+	// patience is the time in which the limits grow. It is a few times the mean
+	// work of both sites' services, and within the shortest target.
+	patienceSpan = 500 * time.Millisecond
+	// patienceStep is the time after which waiting requests are offered to
+	// backends beyond the first limits.
+	patienceStep = 50 * time.Millisecond
 )
 
-// riskLimitOf returns the risk that a request takes that came at a time. The
-// limit grows while it waits, so that room at backends that may be well is used
-// when the well ones are full. It answers a burst while a third of the backends
-// are ill. Where no backend is left below the limit, there is nothing to wait
-// for.
-func (c *Core) riskLimitOf(v *view, demand *mustardramp.Demand, now, added time.Time) float64 {
-	if !c.flat || c.isLost(now, demand) || !c.hasHope(now, v, demand) {
-		return anyRisk
+// limit bounds the backends that a request takes.
+type limit struct {
+	risk, way float64
+}
+
+// noLimit lets a request take any backend.
+var noLimit = limit{risk: math.Inf(1), way: math.Inf(1)}
+
+// limitOf returns the limit of a request that came at a time. It grows while the
+// request waits, so that room at backends that may be well, or are far, is used
+// when the well and near ones are full. It answers a burst while a third of the
+// backends are ill. Where no backend is left that may be well, there is nothing
+// to wait for.
+func (c *Core) limitOf(v *view, demand *mustardramp.Demand, now, added time.Time) limit {
+	if !c.flat {
+		return noLimit
+	}
+	waited := now.Sub(added)
+	part := min(1, float64(waited)/float64(patienceSpan))
+	l := limit{
+		risk: riskLimit + (mostRiskTaken-riskLimit)*part,
+		way:  wayLimit + (mostWayTaken-wayLimit)*part,
+	}
+	if waited >= patienceSpan {
+		l.way = noLimit.way
+	}
+	if c.isLost(now, demand) || !c.hasHope(now, v, demand) {
+		l.risk = noLimit.risk
 	}
-	part := min(1, float64(now.Sub(added))/float64(riskPatience))
-	return riskLimit + (mostRiskTaken-riskLimit)*part
+	return l
 }
 
-// isLost reports whether the demand misses its target if it waits any longer.
+// isLost reports whether the demand misses its target if it waits any longer and
+// may be sent again if it fails. Work that must not repeat waits on: late is
+// better than lost.
 func (c *Core) isLost(now time.Time, demand *mustardramp.Demand) bool {
-	return !demand.Target.IsZero() && now.Add(time.Duration(c.usual.Load())).After(demand.Target)
+	return demand.Idempotent && !demand.Target.IsZero() && now.Add(time.Duration(c.usual.Load())).After(demand.Target)
 }
 
 // hasHope reports whether a backend that the demand has not tried is less risky
@@ -348,7 +372,7 @@
 	if m := tryTrial(v, demand, at, roll); m != nil {
 		return m
 	}
-	limit := c.riskLimitOf(v, demand, now, added)
+	limit := c.limitOf(v, demand, now, added)
 	for d, tier := range v.tiers {
 		if len(tier) == 0 {
 			continue
@@ -375,8 +399,8 @@
 }
 
 // choose takes a place at one member of a tier.
-func (c *Core) choose(tier []*member, demand *mustardramp.Demand, at int64, roll uint64, limit float64) *member {
-	choice := Choice{members: tier, tried: demand.Tried, place: demand.Place, limit: limit, at: at, roll: roll}
+func (c *Core) choose(tier []*member, demand *mustardramp.Demand, at int64, roll uint64, l limit) *member {
+	choice := Choice{members: tier, tried: demand.Tried, place: demand.Place, size: demand.Size, limit: l, at: at, roll: roll}
 	for range enterTries {
 		var i int
 		if c.strategy == nil {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -88,7 +88,7 @@
 	if at, held := p.core.Release(now); held && at.Before(until) {
 		until = at
 	}
-	if next := now.Add(riskStep); now.Sub(ticket.item.Added) < riskPatience && next.Before(until) {
+	if next := now.Add(patienceStep); now.Sub(ticket.item.Added) < patienceSpan && next.Before(until) {
 		until = next
 	}
 	return max(until.Sub(now), time.Millisecond)
