--- a/internal/ejection/member.go
+++ b/internal/ejection/member.go
@@ -74,8 +74,8 @@
 type member struct {
 	backend mustardramp.Backend
 	// ramp is the service's own span of a ramp, or 0.
-	ramp time.Duration
-	handle  evidence.Handle
+	ramp   time.Duration
+	handle evidence.Handle
 	// since is when this host learned of the incarnation.
 	since time.Time
 	// started is when the incarnation started, as far as this host saw it;
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -314,7 +314,7 @@
 		return false
 	case x.r.Context().Err() != nil || !now.Before(x.deadline):
 		return false
-	case x.sends >= x.maxAttempts() || len(x.tried) >= mostDials:
+	case x.sends >= x.attemptLimit() || len(x.tried) >= mostDials:
 		return false
 	case last.unsent:
 		return true
@@ -322,19 +322,19 @@
 	return x.service.Budget != nil && x.service.Budget.Allow(x.route.Rank, now)
 }
 
-// maxAttempts bounds the backends that one request of a contract's route is
+// attemptLimit bounds the backends that one request of a contract's route is
 // sent to.
-const maxAttempts = 3
+const attemptLimit = 3
 
 // mostDials bounds the backends that one request tries to reach, whether a byte
 // left or not.
 const mostDials = 6
 
-func (x *exchange) maxAttempts() int {
+func (x *exchange) attemptLimit() int {
 	if x.route.Tries > 0 {
 		return x.route.Tries
 	}
-	return maxAttempts
+	return attemptLimit
 }
 
 // end accounts for the request.
--- a/internal/entry/logs_test.go
+++ b/internal/entry/logs_test.go
@@ -19,6 +19,7 @@
 	name := regexp.MustCompile(`^[a-z]+(-[a-z]+)*$`)
 	found := 0
 	dirs, _ := filepath.Glob("../*")
+	dirs = append(dirs, "../../platform")
 	for _, dir := range dirs {
 		files, _ := filepath.Glob(filepath.Join(dir, "*.go"))
 		for _, file := range files {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -155,7 +155,7 @@
 
 // mayHold reports whether another attempt could replace a failed answer.
 func (x *exchange) mayHold() bool {
-	return x.sends < x.maxAttempts() && x.body.replayable()
+	return x.sends < x.attemptLimit() && x.body.replayable()
 }
 
 func resultOf(status int) mustardramp.Result {
--- /dev/null
+++ b/internal/entry/table_test.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+var platformHeaders = Headers{
+	Timeout: "X-Left-Ms", Instance: "X-For-Instance", NotRun: "X-Not-Run", Stamp: "X-Stamp", Echo: true, Fractions: true,
+}
+
+// newTableFixture has a safe route, an unsafe one and a short one.
+func newTableFixture(t testing.TB, backends ...string) *fixture {
+	t.Helper()
+	route := func(name, prefix string, kind contract.Kind, timeout time.Duration) contract.TableRoute {
+		return contract.TableRoute{
+			Name: name, Host: "mohor.example", Prefix: prefix, Kind: kind, Timeout: contract.Span(timeout), Tries: 2, Service: "mohor",
+		}
+	}
+	table := contract.Table{
+		Version: 1,
+		Routes: []contract.TableRoute{
+			route("reads", "/reads/", contract.Safe, 5*time.Second),
+			route("acts", "/acts/", contract.Unsafe, 5*time.Second),
+			route("short", "/short/", contract.Unsafe, 100*time.Millisecond),
+		},
+		Services: []contract.TableService{{Name: "mohor"}},
+	}
+	source, err := table.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := contract.Parse("table.json", source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFixtureOf(t, c, mustardramp.SystemClock{}, backends...)
+	f.handler.config.Headers = platformHeaders
+	for i := range f.pool.backends {
+		f.pool.backends[i].Instance = fmt.Sprint("i-", i)
+	}
+	return f
+}
+
+// stamped answers as a backend of the platform does.
+func stamped(w http.ResponseWriter, r *http.Request, status int, body string) {
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	w.Header().Set("X-Stamp", "s")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
+}
+
+// TestTablePassesThePathAsItIs sends paths that a contract refuses.
+func TestTablePassesThePathAsItIs(t *testing.T) {
+	for _, target := range []string{"/reads/a%2fb", "/reads/../x", "/reads//a?b=%2F&c", "/reads/;p=1?", "/reads/%41"} {
+		t.Run(target, func(t *testing.T) {
+			seen := make(chan *http.Request, 1)
+			f := newTableFixture(t, serve(t, func(w http.ResponseWriter, r *http.Request) {
+				seen <- r.Clone(r.Context())
+				stamped(w, r, http.StatusOK, "whole")
+			}))
+			conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: mohor.example\r\nX-Request-Id: r1\r\nX-Left-Ms: 4000\r\n\r\n", target)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != http.StatusOK {
+				t.Fatalf("got status %d, want 200", response.StatusCode)
+			}
+			r := <-seen
+			if got := r.RequestURI; got != target {
+				t.Errorf("got target %q, want %q", got, target)
+			}
+			if got := r.Header.Get("X-For-Instance"); got != "i-0" {
+				t.Errorf("got instance %q, want i-0", got)
+			}
+			if got := r.Header.Get("X-Left-Ms"); got == "" || len(got) > 4 {
+				t.Errorf("got %q ms left, want at most 4000", got)
+			}
+		})
+	}
+}
+
+// TestForeignAnswerIsNotPassedOn has backends that answer for another request or
+// without their stamp: such an answer is a failure that may have run.
+func TestForeignAnswerIsNotPassedOn(t *testing.T) {
+	answers := map[string]func(http.ResponseWriter, *http.Request){
+		"of another request": func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Set("X-Request-Id", "other")
+			stamped(w, r, http.StatusOK, "not yours")
+		},
+		"without a stamp": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			_, _ = io.WriteString(w, "not stamped")
+		},
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			f := newTableFixture(t, serve(t, answer))
+			response := f.ask(t, http.MethodPost, "/acts/1", "x", "X-Request-Id", "r1")
+			if body := text(t, response); response.StatusCode != http.StatusBadGateway || strings.Contains(body, "not ") && strings.Contains(body, "yours") {
+				t.Errorf("got status %d with %q, want 502 without the answer", response.StatusCode, body)
+			}
+		})
+	}
+}
+
+// TestTableStatusSaysWhetherItRan covers the promise of a status: 503 only when
+// nothing ran.
+func TestTableStatusSaysWhetherItRan(t *testing.T) {
+	closes := func(t testing.TB) string {
+		return script(t, func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = readRequest(reader)
+			_ = conn.Close()
+		})
+	}
+	hangs := func(t testing.TB) string {
+		return script(t, func(_ net.Conn, reader *bufio.Reader) {
+			_, _ = readRequest(reader)
+			_, _ = reader.ReadByte()
+		})
+	}
+	sheds := func(t testing.TB) string {
+		return serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	moved := func(t testing.TB) string {
+		return serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+	}
+	tests := map[string]struct {
+		backend func(testing.TB) string
+		path    string
+		want    int
+	}{
+		"dead":                   {deadAddress, "/acts/1", http.StatusServiceUnavailable},
+		"sheds":                  {sheds, "/acts/1", http.StatusServiceUnavailable},
+		"another instance":       {moved, "/acts/1", http.StatusServiceUnavailable},
+		"closes after the bytes": {closes, "/acts/1", http.StatusBadGateway},
+		"hangs past the timeout": {hangs, "/short/1", http.StatusGatewayTimeout},
+		"no route":               {deadAddress, "/nowhere/1", http.StatusNotFound},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newTableFixture(t, test.backend(t))
+			response := f.ask(t, http.MethodPost, test.path, "x", "X-Request-Id", "r1")
+			_ = text(t, response)
+			if response.StatusCode != test.want {
+				t.Errorf("got status %d, want %d", response.StatusCode, test.want)
+			}
+		})
+	}
+}
+
+// TestUnreachedBackendCostsNoTry has more dead backends than the route has tries.
+func TestUnreachedBackendCostsNoTry(t *testing.T) {
+	var ran atomic.Int64
+	alive := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		stamped(w, r, http.StatusOK, "whole")
+	})
+	f := newTableFixture(t, deadAddress(t), deadAddress(t), deadAddress(t), alive)
+	f.budget.left.Store(0)
+	response := f.ask(t, http.MethodPost, "/acts/1", "x", "X-Request-Id", "r1")
+	if got := text(t, response); response.StatusCode != http.StatusOK || got != "whole" || ran.Load() != 1 {
+		t.Errorf("got status %d, %q, run %d times, want the whole answer of one run", response.StatusCode, got, ran.Load())
+	}
+}
+
+// TestSplitKeepsItsWeights sends 200 requests through 40 hosts that see five
+// each: the shares must lie within a tenth of the weights.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	for _, weights := range [][]float64{{90, 10}, {50, 50}, {70, 20, 10}, {0, 1}} {
+		t.Run(fmt.Sprint(weights), func(t *testing.T) {
+			route := &contract.Route{Name: "split"}
+			sum := 0.0
+			for i, w := range weights {
+				route.Parts = append(route.Parts, contract.Part{Service: mustardramp.ServiceName(fmt.Sprint(i)), Weight: w})
+				sum += w
+			}
+			counts := map[mustardramp.ServiceName]int{}
+			const hosts, each = 40, 5
+			for h := range hosts {
+				var s splits
+				for range each {
+					counts[s.choose(mustardramp.HostName(fmt.Sprint("front-", h)), route)]++
+				}
+			}
+			for _, p := range route.Parts {
+				got, want := float64(counts[p.Service])/(hosts*each), p.Weight/sum
+				if got < want-0.1 || got > want+0.1 {
+					t.Errorf("part %s: got a share of %.2f, want %.2f", p.Service, got, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -54,6 +54,7 @@
 	case <-e.drained:
 	case <-inner.Done():
 	}
+	e.services.brief(inner)
 	e.exchange.Drain()
 	return e.traffic.Stop(cut)
 }
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -143,6 +143,13 @@
 	}
 }
 
+// brief tells the hosts that keep slots after this one what it knows.
+func (s *services) brief(ctx context.Context) {
+	for _, r := range s.all() {
+		r.pool.Brief(ctx)
+	}
+}
+
 // setHosts hands the list of live entry hosts to all services.
 func (s *services) setHosts(hosts []lease.Host) {
 	fleet := lease.NewFleet(hosts)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -88,6 +88,8 @@
 	Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Grant, error)
 	// Report is lost without harm: leases end by themselves.
 	Report(ctx context.Context, host mustardramp.HostName, report Report) error
+	// Brief is lost without harm: the peer then learns by its own leases.
+	Brief(ctx context.Context, host mustardramp.HostName, briefing Briefing) error
 }
 
 // Host is an entry host that is alive.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -71,6 +71,16 @@
 	return nil
 }
 
+func (n *network) Brief(_ context.Context, host mustardramp.HostName, briefing Briefing) error {
+	n.mu.Lock()
+	p := n.pools[host]
+	n.mu.Unlock()
+	if p != nil {
+		p.Adopt(briefing)
+	}
+	return nil
+}
+
 func (n *network) sever(host mustardramp.HostName) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/lease/network.go
+++ b/internal/lease/network.go
@@ -17,6 +17,7 @@
 	methodAsk    = "lease.ask"
 	methodReport = "lease.report"
 	methodAlive  = "lease.alive"
+	methodBrief  = "lease.brief"
 )
 
 // ErrPeer is the class of errors of calls to hosts and services that are not
@@ -41,6 +42,14 @@
 		p.Take(report)
 		return struct{}{}, nil
 	})
+	link.Handle(router, methodBrief, func(_ context.Context, briefing Briefing) (struct{}, error) {
+		p := find(briefing.Service)
+		if p == nil {
+			return struct{}{}, ErrPeer.New("service %s has not started on this host", briefing.Service)
+		}
+		p.Adopt(briefing)
+		return struct{}{}, nil
+	})
 	link.Handle(router, methodAlive, func(context.Context, struct{}) (struct{}, error) {
 		return struct{}{}, nil
 	})
@@ -107,6 +116,16 @@
 	return err
 }
 
+// Brief implements Peers.
+func (n *Network) Brief(ctx context.Context, host mustardramp.HostName, briefing Briefing) error {
+	c, err := n.reach(host)
+	if err != nil {
+		return err
+	}
+	_, err = link.Call[struct{}](ctx, c.reports, methodBrief, briefing)
+	return err
+}
+
 // Keep ends the connections to the hosts that are not listed.
 func (n *Network) Keep(hosts []Host) {
 	listed := make(map[mustardramp.HostName]bool, len(hosts))
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/link"
@@ -240,6 +241,8 @@
 			return nil, denial
 		}
 		if !link.ErrRemote.Has(err) {
+			klog.InfoS("keeper-lost", "service", p.config.Pool.Terms.Service, "region", g.id.Region, "part", g.id.Part,
+				"keeper", host, "pause", downTime, "cause", err)
 			peer.fail(p.clock.Now())
 		}
 	}
@@ -370,6 +373,7 @@
 		return true
 	})
 	_ = group.Wait()
+	p.Brief(ctx)
 }
 
 // Close waits until the last returns were sent.
--- a/internal/pool/belief.go
+++ b/internal/pool/belief.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/mustardramp/mustardramp"
 )
 
 // The model of backends that fall ill for some seconds and fail most of their
@@ -91,6 +93,52 @@
 	b.risk, b.then = max(leastRisk, min(posterior, mostRisk)), now
 }
 
+// adopt takes over the belief of another host, which knew more.
+func (b *belief) adopt(now int64, risk float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.risk, b.then = max(leastRisk, min(risk, mostRisk)), now
+}
+
+// seen reports whether any outcome or belief was taken in.
+func (b *belief) seen() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.then != 0
+}
+
+// Belief is what a keeper believes of one backend.
+type Belief struct {
+	Backend mustardramp.BackendID `cbor:"1,keyasint"`
+	Risk    float64               `cbor:"2,keyasint"`
+}
+
+// Beliefs lists what the pool believes of the backends that it has work of.
+func (p *Pool) Beliefs() []Belief {
+	at := p.clock.Now().UnixNano()
+	var out []Belief
+	p.core.view.Load().each(func(m *member) {
+		if m.belief.seen() {
+			out = append(out, Belief{Backend: m.backend.ID, Risk: float64(float32(m.belief.at(at)))})
+		}
+	})
+	return out
+}
+
+// Adopt takes over the beliefs of the host that kept the backends before.
+func (p *Pool) Adopt(beliefs []Belief) {
+	at := p.clock.Now().UnixNano()
+	risks := make(map[mustardramp.BackendID]float64, len(beliefs))
+	for _, b := range beliefs {
+		risks[b.Backend] = b.Risk
+	}
+	p.core.view.Load().each(func(m *member) {
+		if risk, ok := risks[m.backend.ID]; ok {
+			m.belief.adopt(at, risk)
+		}
+	})
+}
+
 // flights are the times at which the attempts under way began, oldest first.
 type flights struct {
 	mu    sync.Mutex
--- /dev/null
+++ b/internal/registry/table_test.go
@@ -0,0 +1,105 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/pkg/contract"
+)
+
+func tableCommand(t *testing.T, version contract.TableVersion, service mustardramp.ServiceName) Command {
+	t.Helper()
+	table := contract.Table{
+		Version:  version,
+		Routes:   []contract.TableRoute{{Name: "reads", Host: "one.example", Prefix: "/a/", Kind: contract.Safe, Service: service}},
+		Services: []contract.TableService{{Name: "patha"}, {Name: "mohor"}},
+	}
+	source, err := table.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := mustardramp.ChangeID(fmt.Sprint("change-", version, "-", service))
+	return Command{Change: id, Files: []File{{Name: "table.json", Source: source}}}
+}
+
+func applyTable(t *testing.T, s *State, index mustardramp.Index, c Command) Result {
+	t.Helper()
+	encoded, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := DecodeResult(s.Apply(index, encoded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// TestHighestTableIsInForce sends versions in uneven order: what is not newer
+// changes nothing, also with other content, and is no fault; what is at fault is
+// refused under any number.
+func TestHighestTableIsInForce(t *testing.T) {
+	var s State
+	steps := []struct {
+		version contract.TableVersion
+		service mustardramp.ServiceName
+		fault   bool
+		held    contract.TableVersion
+		want    mustardramp.ServiceName
+	}{
+		{version: 4, service: "patha", want: "patha"},
+		{version: 9, service: "mohor", want: "mohor"},
+		{version: 6, service: "patha", held: 9, want: "mohor"},
+		{version: 9, service: "patha", held: 9, want: "mohor"},
+		{version: 3, service: "gone", fault: true, want: "mohor"},
+		{version: 12, service: "gone", fault: true, want: "mohor"},
+		{version: 10, service: "patha", want: "patha"},
+	}
+	for i, step := range steps {
+		c := tableCommand(t, step.version, step.service)
+		c.Change = mustardramp.ChangeID(fmt.Sprint(i))
+		got := applyTable(t, &s, mustardramp.Index(i+1), c)
+		if (len(got.Faults) > 0) != step.fault || got.Held != step.held {
+			t.Errorf("step %d: got %+v, want fault %v and held %d", i, got, step.fault, step.held)
+		}
+		if service := s.Table().Routes[0].Service; service != step.want {
+			t.Errorf("step %d: got a route to %s, want %s", i, service, step.want)
+		}
+	}
+}
+
+// TestLeavingsSurviveASnapshot restores a state and asks it again.
+func TestLeavingsSurviveASnapshot(t *testing.T) {
+	var s State
+	var told []Leaving
+	s.WatchLeavings(func(l []Leaving) { told = append(told, l...) })
+	applyTable(t, &s, 1, tableCommand(t, 4, "patha"))
+	for i := range 3 {
+		l := Leaving{Instance: fmt.Sprint("i-", i%2), Incarnation: mustardramp.Incarnation(10 + i)}
+		if got := applyTable(t, &s, mustardramp.Index(2+i), Command{Leaving: &l}); !got.Left {
+			t.Errorf("got %+v, want the leaving recorded", got)
+		}
+	}
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var restored State
+	var again []Leaving
+	restored.WatchLeavings(func(l []Leaving) { again = append(again, l...) })
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if len(told) != 3 || len(again) != 3 {
+		t.Errorf("got %d and %d leavings told, want 3 each", len(told), len(again))
+	}
+	for instance, want := range map[string]mustardramp.Incarnation{"i-0": 12, "i-1": 11} {
+		if !restored.HasLeft(instance, want) || restored.HasLeft(instance, want+1) {
+			t.Errorf("%s: got other than %d left", instance, want)
+		}
+	}
+	if got := restored.Table(); got == nil || got.Version != 4 {
+		t.Errorf("got table %v, want version 4", got)
+	}
+}
