Canvass early until a leader is heard after a start

Ruled out: short timeouts for candidates too (failed trial: in the test world elections took longer, since votes wait for syncs). Change: until a member hears a leader it canvasses after a third of the timeout. Pre-votes disturb no leader that others hear.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -90,6 +90,9 @@
 	// last check of its quorum.
 	elapsed int
 	timeout int
+	// ledBefore is true once a leader was heard, or the member led, since its
+	// start.
+	ledBefore bool
 	// votes holds the answers to this candidate.
 	votes map[MemberID]bool
 
@@ -150,9 +153,18 @@
 
 func (c *core) resetTimeout() {
 	c.elapsed = 0
-	c.timeout = c.timing.Election + c.random.IntN(c.timing.Election)
+	least := c.timing.Election
+	if !c.ledBefore {
+		least = max(1, least/firstElections)
+	}
+	c.timeout = least + c.random.IntN(least)
 }
 
+// firstElections is the number of times that a started member canvasses in the
+// least election timeout until it first hears a leader: after the loss of all
+// members nobody leads, and a pre-vote disturbs no leader that others hear.
+const firstElections = 3
+
 // setState changes term and vote and has them synced.
 func (c *core) setState(state hardState) {
 	if c.state == state {
@@ -171,6 +183,7 @@
 	c.refuseReads()
 	c.role = follower
 	c.leader = leader
+	c.ledBefore = c.ledBefore || leader != 0
 	c.leading = nil
 	c.votes = nil
 	c.resetTimeout()
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -25,6 +25,8 @@
 func (c *core) elect() {
 	c.role = candidate
 	c.resetTimeout()
+	// The votes of a term wait for a sync at each member.
+	c.timeout = max(c.timeout, c.timing.Election)
 	c.votes = map[MemberID]bool{}
 	c.heardRound = 0
 	c.setState(hardState{Term: c.state.Term + 1, Vote: c.self.ID})
--- a/internal/quorum/leading.go
+++ b/internal/quorum/leading.go
@@ -52,6 +52,7 @@
 // which may not be committed by counting their copies.
 func (c *core) lead() {
 	c.role = leader
+	c.ledBefore = true
 	c.leader = c.self.ID
 	c.elapsed = 0
 	c.votes = nil
--- a/internal/quorum/seeded_test.go
+++ b/internal/quorum/seeded_test.go
@@ -228,3 +228,36 @@
 		f.wantOn(host, "kept")
 	}
 }
+
+// TestStartedMemberCanvassesSoon covers the loss of all members at once: until a
+// started member hears a leader it asks for pre-votes early, and again when
+// nobody answers; a candidate and a member that has heard a leader wait in full.
+func TestStartedMemberCanvassesSoon(t *testing.T) {
+	self := Member{ID: 1, Host: "host-1", Voter: true}
+	group := Membership{self, {ID: 2, Host: "host-2", Voter: true}, {ID: 3, Host: "host-3", Voter: true}}
+	for seed := range uint64(20) {
+		c := newCore(self, Timing{}, rand.New(rand.NewPCG(seed, 1)))
+		c.state = hardState{Term: 3}
+		c.log.append(Entry{Index: 1, Term: 3, Kind: EntryMembership, Membership: group})
+		canvasses := 0
+		for range defaultElection {
+			c.tick()
+			for _, m := range c.take().messages {
+				if m.Kind == MessagePreVote && m.To == 2 {
+					canvasses++
+				}
+			}
+		}
+		if canvasses < 2 {
+			t.Errorf("seed %d: got %d canvasses in the least election timeout, want 2", seed, canvasses)
+		}
+		c.elect()
+		if c.timeout < defaultElection {
+			t.Errorf("seed %d: got a timeout of %d ticks for a candidate, want at least %d", seed, c.timeout, defaultElection)
+		}
+		c.step(Message{Kind: MessageAppend, From: 2, To: 1, Term: c.state.Term + 1, Index: 1, LogTerm: 3})
+		if c.timeout < defaultElection {
+			t.Errorf("seed %d: got a timeout of %d ticks after a leader was heard, want at least %d", seed, c.timeout, defaultElection)
+		}
+	}
+}
