--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -78,7 +78,9 @@
 // controlAddresses lists the control hosts that are known and the seeds, which
 // may be the only way to one after a start.
 func (e *Exchange) controlAddresses() []netip.AddrPort {
+	e.mu.Lock()
 	out := slices.Clone(e.options.Seeds)
+	e.mu.Unlock()
 	for _, m := range e.Members() {
 		if m.Host.Role == membership.Control && m.Standing != membership.Lost && !slices.Contains(out, m.Host.Address) {
 			out = append(out, m.Host.Address)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -150,6 +150,14 @@
 	return e.core.Members.List()
 }
 
+// Reseed replaces the seeds.
+func (e *Exchange) Reseed(seeds []netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.Seeds = seeds
+	e.options.Seeds = seeds
+}
+
 // Drain tells the fleet that this host leaves.
 func (e *Exchange) Drain() {
 	e.mu.Lock()
--- a/internal/host/surface.go
+++ b/internal/host/surface.go
@@ -36,6 +36,18 @@
 	return err
 }
 
+// Reseed replaces the addresses by which the host finds others when it knows
+// none.
+func (e *Entry) Reseed(seeds []netip.AddrPort) {
+	e.exchange.Reseed(seeds)
+}
+
+// Reseed replaces the addresses by which the host finds others when it knows
+// none.
+func (c *Control) Reseed(seeds []netip.AddrPort) {
+	c.exchange.Reseed(seeds)
+}
+
 // Ready reports whether new work is welcome.
 func (e *Entry) Ready() bool {
 	return e.traffic.Ready()
