--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -30,7 +30,7 @@
 	e.tally.Clock = e.clock
 	e.services.holder = lease.Holder{Host: config.Name, Incarnation: e.incarnation}
 	e.services.place, e.services.clock, e.services.peers = config.Place, e.clock, &e.network
-	e.services.slack = config.Slack
+	e.services.ratio, e.services.slack = config.Ratio, config.Slack
 	e.network.Find = e.links.address
 	e.network.New = func(address netip.AddrPort) *link.Client {
 		return &link.Client{Address: address, TLS: e.secrets.linkClient}
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -43,8 +43,11 @@
 	StopDelay time.Duration
 	// Headers names the headers shared with callers and backends.
 	Headers entry.Headers
-	// Slack is the number of further attempts that the whole fleet may make in
-	// ten seconds beyond the services' budgets.
+	// Ratio is the share of a service's requests that further attempts of the
+	// whole fleet may be, and Slack their number beside it in ten seconds. They
+	// hold for services of a routing table; a Ratio of 0 leaves the table's
+	// default.
+	Ratio float64
 	Slack int
 }
 
--- a/internal/host/group.go
+++ b/internal/host/group.go
@@ -32,22 +32,12 @@
 			peers[m.Name] = &link.Client{Address: m.Address, TLS: c.secrets.linkClient}
 		}
 	}
-	name := quorum.GroupName(p.Name)
-	g.links = quorum.NewLinks(name, c.config.Name, peers)
-	var err error
-	g.log, err = quorum.Open(quorum.Config{
-		Group:     name,
-		Host:      c.config.Name,
-		Hosts:     p.Hosts,
-		Folder:    filepath.Join(c.config.Data, p.Name),
-		Machine:   machine,
-		Transport: g.links,
+	g.links = quorum.NewLinks(quorum.GroupName(p.Name), c.config.Name, peers)
+	return g, g.open(&c.server.Router, quorum.Config{
+		Host:    c.config.Name,
+		Folder:  filepath.Join(c.config.Data, p.Name),
+		Machine: machine,
 	})
-	if err != nil {
-		return nil, err
-	}
-	g.links.Serve(&c.server.Router, g.log)
-	return g, nil
 }
 
 // openSeeded opens this host's member of the group of the contracts in a fleet
@@ -68,22 +58,24 @@
 		}
 		return &link.Client{Address: address, TLS: c.secrets.linkClient}
 	}
-	var err error
-	g.log, err = quorum.Open(quorum.Config{
-		Group:     placement.Contracts,
-		Host:      self,
-		Hosts:     g.Hosts,
-		Size:      c.config.Size,
-		First:     c.config.First,
-		Folder:    filepath.Join(c.config.Data, placement.Contracts),
-		Machine:   machine,
-		Transport: g.links,
+	return g, g.open(&c.server.Router, quorum.Config{
+		Host:    self,
+		Size:    c.config.Size,
+		First:   c.config.First,
+		Folder:  filepath.Join(c.config.Data, placement.Contracts),
+		Machine: machine,
 	})
-	if err != nil {
-		return nil, err
+}
+
+// open opens the member, and answers its peers through the router.
+func (g *group) open(router *link.Router, config quorum.Config) error {
+	config.Group, config.Hosts, config.Transport = quorum.GroupName(g.Name), g.Hosts, g.links
+	var err error
+	if g.log, err = quorum.Open(config); err != nil {
+		return err
 	}
-	g.links.Serve(&c.server.Router, g.log)
-	return g, nil
+	g.links.Serve(router, g.log)
+	return nil
 }
 
 // run takes part in the group until the context ends or the disk fails.
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -50,8 +50,9 @@
 	peers  lease.Peers
 	// fleet is used by the goroutine of setHosts alone.
 	fleet *lease.Fleet
-	// slack is the number of further attempts of a service that the fleet may
-	// make in ten seconds beyond what requests earn.
+	// ratio and slack bound the further attempts of a service for the whole
+	// fleet.
+	ratio float64
 	slack int
 	// link is this host's part of the link between regions.
 	link   crossing.Link
@@ -109,6 +110,7 @@
 		},
 		Holder: s.holder,
 		Peers:  s.peers,
+		Ratio:  s.ratio,
 		Slack:  s.slack,
 	})
 	r.entry = entry.Service{Pool: &countedPool{Pool: r.pool, counts: &r.counts}, Budget: r.budget}
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -24,9 +24,10 @@
 	Pool   pool.Config
 	Holder Holder
 	Peers  Peers
-	// Slack is the number of further attempts of the service that the fleet may
-	// make in ten seconds beside the budget's share; it counts where the budget
-	// is pooled.
+	// Ratio is the share of the service's requests that further attempts of the
+	// fleet may be, or 0 for the terms' budget. Slack is their number beside it in
+	// ten seconds. Both count where the budget is pooled.
+	Ratio float64
 	Slack int
 }
 
@@ -101,12 +102,23 @@
 		if g != nil && len(g.keepers) > 0 && g.keepers[0] == p.config.Holder.Host {
 			slack = float64(p.config.Slack) * slackShare / float64(len(plan.groups))
 		}
-		d.window.Configure(p.terms.Budget.Of(1), slack)
+		d.window.Configure(p.ratio(), slack)
 		d.pooled.Store(p.terms.Pooled)
 		return true
 	})
 }
 
+func (p *Pool) ratio() float64 {
+	if p.config.Ratio > 0 {
+		return p.config.Ratio * ratioShare
+	}
+	return p.terms.Budget.Of(1)
+}
+
+// ratioShare is the part of the ratio that is used: an ask that reaches two
+// keepers counts twice.
+const ratioShare = 0.95
+
 // slackShare is the part of the fleet's slack that is used: a keeper that takes
 // over knows nothing of what the one before it allowed.
 const slackShare = 0.8
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -303,7 +303,7 @@
 	// patience, above that of the longest way of all but the longest bodies.
 	wayLimit     = 0.2
 	mostWayTaken = 8
-	// patience is the time in which the limits grow. It is a few times the mean
+	// patienceSpan is the time in which the limits grow. It is a few times the mean
 	// work of both sites' services, and within the shortest target.
 	patienceSpan = 500 * time.Millisecond
 	// patienceStep is the time after which waiting requests are offered to
--- a/pkg/contract/lookup.go
+++ b/pkg/contract/lookup.go
@@ -11,9 +11,8 @@
 
 // Budget and shares of the services that only a routing table describes.
 const (
-	// tableBudget leaves the fleet's limit of further attempts, 20 % on both
-	// sites, room for asks that reach two keepers.
-	tableBudget mustardramp.Percent = 19
+	// tableBudget is the share of further attempts where no setting says another.
+	tableBudget mustardramp.Percent = 10
 	// tableCaution is the accepted rate of false ejections per backend and day.
 	// The keepers of slots avoid backends that are ill for seconds; ejection is
 	// left to those that stay so.
