A control host outlives a full disk

Change: a member whose disk has no room stops, and is opened again from its folder once the disk takes bytes; its machine is emptied and the log applied anew. Nothing is acknowledged meanwhile. Other failures still end the process.

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -95,7 +95,7 @@
 	c.state.Watch(c.spread)
 	c.state.WatchLeavings(c.spreadLeavings)
 	if c.config.Size > 0 {
-		g, err := c.openSeeded(&c.state)
+		g, err := c.openSeeded(&c.state, c.resetState)
 		if err != nil {
 			return err
 		}
@@ -131,12 +131,12 @@
 // join opens this host's member of a group.
 func (c *Control) join(p placement.Group) error {
 	if p.Region == "" {
-		g, err := c.openGroup(p, &c.state)
+		g, err := c.openGroup(p, &c.state, c.resetState)
 		c.groups = append(c.groups, g)
 		return err
 	}
 	state := &ledger.State{}
-	g, err := c.openGroup(p, state)
+	g, err := c.openGroup(p, state, nil)
 	if err != nil {
 		return err
 	}
@@ -147,6 +147,19 @@
 	return nil
 }
 
+// resetState empties the state of the contracts before its log is applied anew.
+func (c *Control) resetState() error {
+	return emptyState(&c.state)
+}
+
+func emptyState(s *registry.State) error {
+	empty, err := (&registry.State{}).Snapshot()
+	if err != nil {
+		return err
+	}
+	return s.Restore(empty)
+}
+
 // spread passes accepted entries on to all hosts, those of one change at once.
 // What the log's snapshot restores is passed on once the exchange exists.
 func (c *Control) spread(entries []registry.Entry) {
--- a/internal/host/group.go
+++ b/internal/host/group.go
@@ -18,13 +18,13 @@
 // group is this host's member of one replicated group.
 type group struct {
 	placement.Group
-	log   *quorum.Group
+	log   *member
 	links *quorum.Links
 }
 
 // openGroup opens the member's folder and answers its peers through the
 // router.
-func (c *Control) openGroup(p placement.Group, machine mustardramp.Machine) (*group, error) {
+func (c *Control) openGroup(p placement.Group, machine mustardramp.Machine, reset func() error) (*group, error) {
 	g := &group{Group: p}
 	peers := map[mustardramp.HostName]link.Caller{}
 	for _, m := range c.config.Control {
@@ -37,13 +37,13 @@
 		Host:    c.config.Name,
 		Folder:  filepath.Join(c.config.Data, p.Name),
 		Machine: machine,
-	})
+	}, reset)
 }
 
 // openSeeded opens this host's member of the group of the contracts in a fleet
 // whose control hosts no setting lists. Its hosts are named by the addresses of
 // their links, so that one known from the log can be reached.
-func (c *Control) openSeeded(machine mustardramp.Machine) (*group, error) {
+func (c *Control) openSeeded(machine mustardramp.Machine, reset func() error) (*group, error) {
 	g := &group{Group: placement.Group{Name: placement.Contracts}}
 	for _, s := range c.config.Seeds {
 		g.Hosts = append(g.Hosts, mustardramp.HostName(s.String()))
@@ -64,14 +64,14 @@
 		First:   c.config.First,
 		Folder:  filepath.Join(c.config.Data, placement.Contracts),
 		Machine: machine,
-	})
+	}, reset)
 }
 
 // open opens the member, and answers its peers through the router.
-func (g *group) open(router *link.Router, config quorum.Config) error {
+func (g *group) open(router *link.Router, config quorum.Config, reset func() error) error {
 	config.Group, config.Hosts, config.Transport = quorum.GroupName(g.Name), g.Hosts, g.links
 	var err error
-	if g.log, err = quorum.Open(config); err != nil {
+	if g.log, err = openMember(config, reset); err != nil {
 		return err
 	}
 	g.links.Serve(router, g.log)
@@ -81,7 +81,7 @@
 // run takes part in the group until the context ends or the disk fails.
 func (g *group) run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
-	work.Go(func() error { return g.log.Run(ctx) })
+	work.Go(func() error { return g.log.run(ctx) })
 	work.Go(func() error { return g.links.Run(ctx) })
 	return work.Wait()
 }
--- /dev/null
+++ b/internal/host/member_test.go
@@ -0,0 +1,81 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/disk"
+	"github.com/mustardramp/mustardramp/internal/quorum"
+	"github.com/mustardramp/mustardramp/internal/registry"
+)
+
+// nowhere is a transport of a group of one.
+type nowhere struct{}
+
+// Send implements quorum.Transport.
+func (nowhere) Send(mustardramp.HostName, quorum.Message) {}
+
+// TestMemberOutlivesAFullDisk fills the disk under a group of one: nothing is
+// acknowledged meanwhile, the member lives, and all that was acknowledged is
+// there once the disk has room again.
+func TestMemberOutlivesAFullDisk(t *testing.T) {
+	var full atomic.Bool
+	fake := &disk.Fake{Fail: func(op disk.Operation, name string) error {
+		if full.Load() && op == disk.OperationWrite {
+			return fmt.Errorf("%s: %w", name, syscall.ENOSPC)
+		}
+		return nil
+	}}
+	var state registry.State
+	m, err := openMember(quorum.Config{
+		Group: "contracts", Host: "host-1", Hosts: []mustardramp.HostName{"host-1"}, Folder: "data",
+		Disk: fake, Machine: &state, Transport: nowhere{}, Tick: 2 * time.Millisecond,
+	}, func() error { return emptyState(&state) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return m.run(ctx) })
+	desk := registry.Desk{State: &state, Log: m}
+	leave := func(instance string, patience time.Duration) error {
+		bounded, end := context.WithTimeout(t.Context(), patience)
+		defer end()
+		return desk.Leave(bounded, registry.Leaving{Instance: instance, Incarnation: 1})
+	}
+	if err := leave("before", 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	full.Store(true)
+	if err := leave("during", 300*time.Millisecond); err == nil {
+		t.Error("got an acknowledgement on a full disk, want none")
+	}
+	full.Store(false)
+	for end := time.Now().Add(20 * time.Second); ; {
+		if err := leave("after", time.Second); err == nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("got no acknowledgement once the disk had room, want one")
+		}
+	}
+	if err := m.Confirm(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, instance := range []string{"before", "after"} {
+		if !state.HasLeft(instance, 1) {
+			t.Errorf("got no leaving %q, want what was acknowledged", instance)
+		}
+	}
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -107,8 +107,14 @@
 	return o
 }
 
+// Receiver takes in the messages of other members; a Group is one.
+type Receiver interface {
+	// Receive does not wait.
+	Receive(from mustardramp.HostName, m Message)
+}
+
 // Serve has the group take in the messages that reach the router.
-func (l *Links) Serve(router *link.Router, g *Group) {
+func (l *Links) Serve(router *link.Router, g Receiver) {
 	link.Handle(router, l.method, func(_ context.Context, p parcel) (receipt, error) {
 		l.receive(g, p)
 		return receipt{}, nil
@@ -136,7 +142,7 @@
 	return nil
 }
 
-func (l *Links) receive(g *Group, p parcel) {
+func (l *Links) receive(g Receiver, p parcel) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	in := l.inlets[p.From]
