Short deadlines overtake; further attempts are counted by step

TestWindowKeepsTheFleetsBound found 14 further attempts of 19 requests, 13.8 allowed: the steps counted fresh requests from before the span. TestHedges/late failed once beside load: the hedge answered before the first attempt had reached its backend, which the test waits for. Change: in a rank the oldest request of a caller that would expire within 400 ms goes first, and is not refused for those that it overtakes. The window checks each span that could hold the attempt. The test's fast backend waits for the slow one.

--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -67,9 +67,13 @@
 		t.Run(name, func(t *testing.T) {
 			var ended atomic.Int64
 			hold := make(chan struct{})
+			// A hedge that answers before the first attempt has left would leave
+			// the slow backend without a request.
+			reached := make(chan struct{})
 			slow := serve(t, func(w http.ResponseWriter, r *http.Request) {
 				defer ended.Add(1)
 				_, _ = io.Copy(io.Discard, r.Body)
+				close(reached)
 				select {
 				case <-r.Context().Done():
 				case <-hold:
@@ -79,6 +83,7 @@
 			backends := []string{slow}
 			if !test.alone {
 				backends = append(backends, serve(t, func(w http.ResponseWriter, _ *http.Request) {
+					<-reached
 					_, _ = io.WriteString(w, "fast")
 				}))
 			}
--- a/internal/pool/denial.go
+++ b/internal/pool/denial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/queue"
 )
 
 // comeBack is when a caller may try again after a denial that has no better
@@ -107,9 +108,17 @@
 	}
 }
 
+// hurried is the time to its expiry from which a request is not measured by the
+// queue before it.
+const hurried = 2 * queue.Imminent
+
 // tooLate denies a ticket that cannot start in time behind those that wait.
 func (c *Core) tooLate(now time.Time, t *Ticket) *mustardramp.Denial {
 	wait := c.estimate(t.item.Rank, t.item.Caller)
+	if t.item.Expiry.Sub(now) <= hurried {
+		// It overtakes the others before it expires.
+		wait = min(wait, c.gap())
+	}
 	if !now.Add(wait).After(t.item.Expiry) {
 		return nil
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -313,8 +313,33 @@
 	l.turns = slices.Delete(l.turns, t, t+1)
 }
 
-// take offers the oldest item of each caller in turn.
+// Imminent is the time before its expiry in which an item overtakes the turns.
+// It answers short deadlines among long ones in a burst: those that can wait do.
+const Imminent = 400 * time.Millisecond
+
+// hurry moves the line whose oldest item expires first, and soon, to the front.
+func (l *lane[T]) hurry(now time.Time) {
+	first := -1
+	for i, ln := range l.turns {
+		expiry := ln.items[0].Expiry
+		if expiry.Sub(now) > Imminent || now.After(expiry) {
+			continue
+		}
+		if first < 0 || expiry.Before(l.turns[first].items[0].Expiry) {
+			first = i
+		}
+	}
+	if first <= 0 {
+		return
+	}
+	ln := l.turns[first]
+	l.turns = slices.Insert(slices.Delete(l.turns, first, first+1), 0, ln)
+}
+
+// take offers the oldest item of each caller in turn, but first one that would
+// else expire.
 func (l *lane[T]) take(now time.Time, place func(*Item[T]) bool, drop func(*Item[T])) *Item[T] {
+	l.hurry(now)
 	for i := 0; i < len(l.turns); {
 		ln := l.turns[i]
 		item := ln.items[0]
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -240,3 +240,31 @@
 		}
 	})
 }
+
+// TestShortDeadlineOvertakes replays a burst of requests that can wait, with a
+// few of another caller among them that cannot: these are served in time, and
+// nobody else is lost for it.
+func TestShortDeadlineOvertakes(t *testing.T) {
+	var q Queue[int]
+	const patient, short = 40, 5
+	for i := range patient {
+		it := item(i, mustardramp.Urgent, fmt.Sprint("patient-", i%10))
+		it.Expiry = start.Add(5 * time.Second)
+		q.Push(it)
+	}
+	for i := range short {
+		it := item(1000+i, mustardramp.Urgent, "short")
+		it.Expiry = start.Add(500 * time.Millisecond)
+		q.Push(it)
+	}
+	inTime, dropped := 0, 0
+	q.Drop = func(*Item[int]) { dropped++ }
+	for now := start; q.Total() > 0; now = now.Add(50 * time.Millisecond) {
+		if got := q.Next(now, Costs{}, always); got != nil && got.Value >= 1000 {
+			inTime++
+		}
+	}
+	if inTime != short || dropped != 0 {
+		t.Errorf("got %d short ones in time and %d dropped, want %d and 0", inTime, dropped, short)
+	}
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -8,25 +8,26 @@
 const (
 	// windowStep is the resolution of a Window.
 	windowStep = time.Second
-	// windowSteps covers the span of the fleet's bound, ten seconds, with the
-	// step under way and one for arrivals that trail what was allowed.
-	windowSteps = 12
-	// freshSteps lies within that span: fresh requests count for no longer than
-	// they do for the bound.
-	freshSteps = 10
+	// boundSteps is the span of the fleet's bound, ten seconds.
+	boundSteps = 10
+	// keptSteps covers a span and the one before it, with a step under way at
+	// either end.
+	keptSteps = 2*boundSteps + 2
 )
 
 // Window bounds further attempts where the requests of many hosts meet: in any
-// ten seconds to a share of the fresh ones and a number beside. It answers load
-// that fails for all hosts at once, when what each host may repeat by itself is
-// less than one attempt. Its zero value allows none. It is safe for concurrent
-// use.
+// ten seconds there are at most a share of the fresh ones and a number beside.
+// The fresh ones are those of the ten seconds, of the ten before or of the ten
+// that began five before, whichever has most. It answers load that fails for all
+// hosts at once, when what each host may repeat by itself is less than one
+// attempt. Its zero value allows none. It is safe for concurrent use.
 type Window struct {
-	mu     sync.Mutex
-	share  float64
-	slack  float64
-	fresh  [windowSteps]int
-	repeat [windowSteps]int
+	mu    sync.Mutex
+	share float64
+	slack float64
+	// fresh and repeat count by step, modulo keptSteps.
+	fresh  [keptSteps]int
+	repeat [keptSteps]int
 	// step is the number of the newest step counted.
 	step int64
 }
@@ -43,46 +44,49 @@
 func (w *Window) Fresh(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.fresh[w.turn(now)]++
+	w.turn(now)
+	w.fresh[w.step%keptSteps]++
 }
 
 // Allow counts a further attempt, or reports false.
 func (w *Window) Allow(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at := w.turn(now)
-	if float64(sum(w.repeat[:])+1) > w.share*float64(w.recent())+w.slack {
-		return false
+	w.turn(now)
+	for from := w.step - boundSteps; from <= w.step; from++ {
+		if float64(count(&w.repeat, from, w.step)+1) > w.most(from) {
+			return false
+		}
 	}
-	w.repeat[at]++
+	w.repeat[w.step%keptSteps]++
 	return true
 }
 
-// recent counts the fresh requests of the last freshSteps.
-func (w *Window) recent() int {
+// most returns how many further attempts a span may see that begins within a
+// step. Fresh requests count in the steps that lie wholly within the spans.
+func (w *Window) most(from int64) float64 {
+	within := count(&w.fresh, from+1, min(w.step, from+boundSteps-1))
+	before := count(&w.fresh, from-boundSteps+1, from-1)
+	across := count(&w.fresh, from-boundSteps/2+1, min(w.step, from+boundSteps/2-1))
+	return w.share*float64(max(within, before, across)) + w.slack
+}
+
+// count sums the steps from one to another.
+func count(counts *[keptSteps]int, from, to int64) int {
 	n := 0
-	for step := max(0, w.step-freshSteps+1); step <= w.step; step++ {
-		n += w.fresh[step%int64(windowSteps)]
+	for step := max(0, from); step <= to; step++ {
+		n += counts[step%keptSteps]
 	}
 	return n
 }
 
-// turn empties the steps that are over and returns the present one's place.
-func (w *Window) turn(now time.Time) int {
+// turn empties the steps that are over.
+func (w *Window) turn(now time.Time) {
 	step := now.UnixNano() / int64(windowStep)
-	for i := max(w.step+1, step-int64(windowSteps)+1); i <= step; i++ {
-		w.fresh[i%int64(windowSteps)] = 0
-		w.repeat[i%int64(windowSteps)] = 0
+	for i := max(w.step+1, step-keptSteps+1); i <= step; i++ {
+		w.fresh[i%keptSteps] = 0
+		w.repeat[i%keptSteps] = 0
 	}
 	// A clock that goes back counts into the newest step.
 	w.step = max(w.step, step)
-	return int(w.step % int64(windowSteps))
-}
-
-func sum(counts []int) int {
-	n := 0
-	for _, c := range counts {
-		n += c
-	}
-	return n
 }
