Check histories of groups that replace silent members

Change: the test world has spare hosts; histories under crashes, cuts and lost disks are checked by porcupine, and one rule is broken on purpose.

--- a/internal/quorum/faults_test.go
+++ b/internal/quorum/faults_test.go
@@ -75,6 +75,9 @@
 // hosts.
 func (w *world) isRepaired() bool {
 	n := w.leader()
+	if w.size > 0 {
+		return n != nil && n.core.mayChange() && w.hasPresentVoters(n.core.membership())
+	}
 	if n == nil || !n.core.mayChange() || n.core.membership().voters() != len(w.hosts) {
 		return false
 	}
@@ -86,6 +89,21 @@
 	return true
 }
 
+// hasPresentVoters reports whether a group has its size in voters, each of which
+// is a host's present identity.
+func (w *world) hasPresentVoters(group Membership) bool {
+	present := map[MemberID]bool{}
+	for _, n := range w.nodes {
+		present[n.id.Member.ID] = true
+	}
+	for _, member := range group {
+		if member.Voter && !present[member.ID] {
+			return false
+		}
+	}
+	return group.voters() == w.size
+}
+
 // attempt is one sending of a client's operation through a node.
 type attempt struct {
 	node   *node
--- a/internal/quorum/history_test.go
+++ b/internal/quorum/history_test.go
@@ -195,9 +195,19 @@
 
 // runListHistory returns what a history broke, or nil, and its operations.
 func runListHistory(t *testing.T, seed uint64, broken flaw) (operations int, err error) {
+	t.Helper()
+	return runHistoryOf(t, seed, broken, 0)
+}
+
+// runHistoryOf runs a history with some hosts beside a group without a list, or
+// none beside one with a list.
+func runHistoryOf(t *testing.T, seed uint64, broken flaw, spares int) (operations int, err error) {
 	t.Helper()
 	defer guard(broken, &err)
 	w := newWorld(t, seed, historyHosts)
+	if spares > 0 {
+		w.addSpares(spares)
+	}
 	w.flaw = broken
 	w.compactEvery = 15
 	if seed%2 == 0 {
@@ -251,3 +261,33 @@
 	}
 	t.Logf("%d seeds from %d, %d operations", count, first, total)
 }
+
+// TestSeededLogHistories runs the histories on a group without a list of hosts:
+// two more hosts than it has voters take the places of silent ones, members are
+// removed and join again, and disks are lost meanwhile.
+func TestSeededLogHistories(t *testing.T) {
+	first, count := seedCount(t, 12)
+	total := 0
+	for seed := first; seed < first+count; seed++ {
+		operations, err := runHistoryOf(t, seed, soundWorld, 2)
+		if err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+		total += operations
+	}
+	t.Logf("%d seeds from %d, %d operations", count, first, total)
+}
+
+// TestBrokenSeededRuleIsSeen lets hosts of a group without a list come back as
+// themselves without their disk: the check must see it.
+func TestBrokenSeededRuleIsSeen(t *testing.T) {
+	// The first seed keeps the search short.
+	const first, most = 300, 400
+	for seed := uint64(first); seed < first+most; seed++ {
+		if _, err := runHistoryOf(t, seed, keepIdentity, 2); err != nil {
+			t.Logf("seed %d: %v", seed, err)
+			return
+		}
+	}
+	t.Errorf("got no broken history in %d, want one", most)
+}
--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -15,6 +15,8 @@
 // world drives cores and journals step by step over a fake network and fake
 // disks. The seed decides everything.
 type world struct {
+	// size is the number of voters of a group without a list of hosts, or 0.
+	size int
 	t      *testing.T
 	random *rand.Rand
 	now    int
@@ -152,6 +154,7 @@
 		}
 	}
 	c.allow(w.hosts)
+	c.size = w.size
 	if w.appendBytes > 0 {
 		c.appendBytes = w.appendBytes
 	}
@@ -254,7 +257,7 @@
 
 // askToJoin stands for the runner's join of a blank host.
 func (w *world) askToJoin(n *node) {
-	if _, member := n.core.membership().Member(n.id.Member.ID); member || n.core.log.last() > 0 || w.now%20 != 0 {
+	if w.now%20 != 0 || !w.isOutside(n) {
 		return
 	}
 	self := n.id.Member
@@ -266,6 +269,32 @@
 	}
 }
 
+// isOutside reports whether a node asks to join: a blank one, or, in a group
+// without a list of hosts, one that may have been removed unheard.
+func (w *world) isOutside(n *node) bool {
+	_, member := n.core.membership().Member(n.id.Member.ID)
+	if w.size > 0 {
+		return !member || n.core.leader == 0
+	}
+	return !member && n.core.log.last() == 0
+}
+
+// addSpares makes the group one without a list of hosts, which keeps its size,
+// and starts blank hosts beside it.
+func (w *world) addSpares(count int) {
+	w.size = len(w.hosts)
+	for _, n := range w.nodes {
+		n.core.size = w.size
+	}
+	for range count {
+		host := mustardramp.HostName(fmt.Sprintf("host-%d", len(w.hosts)+1))
+		w.hosts = append(w.hosts, host)
+		w.nextID++
+		w.nodes[host] = &node{host: host, disk: &disk.Fake{}}
+		w.boot(w.nodes[host], w.nextID)
+	}
+}
+
 // pump does what the core asks for.
 func (w *world) pump(n *node) {
 	w.t.Helper()
