--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -16,7 +16,7 @@
 // disks. The seed decides everything.
 type world struct {
 	// size is the number of voters of a group without a list of hosts, or 0.
-	size int
+	size   int
 	t      *testing.T
 	random *rand.Rand
 	now    int
