Keep the floor in use while much of the work fails

What a keeper believes ill it leaves alone for some 6 s, although it may be well again, whatever share of the service that is. Change: while 8 % of the attempts or more fail, the backend without an attempt for longest gets the next one until three quarters had one within 1.5 s.

--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -68,6 +68,8 @@
 	terms    atomic.Pointer[Terms]
 	seed     uint64
 	rolls    atomic.Uint64
+	// failing is the share of the attempts that fail.
+	failing failing
 	// queued is the number of waiting tickets; while it is 0 no lock is taken.
 	queued atomic.Int64
 	// usual is the moving mean latency of good answers in nanoseconds.
@@ -137,7 +139,7 @@
 // Finish ends an attempt and gives the free slot to waiting tickets.
 func (c *Core) Finish(now time.Time, lease Lease, result mustardramp.Result, latency time.Duration) {
 	lease.member.flights.end(lease.granted.UnixNano())
-	lease.member.leave(result, latency, now)
+	c.failing.observe(lease.member.leave(result, latency, now))
 	if result == mustardramp.ResultGood {
 		learn(&c.costs[lease.rank], now.Sub(lease.granted))
 	}
@@ -271,6 +273,7 @@
 
 func (c *Core) lease(now time.Time, m *member, rank mustardramp.Rank) Lease {
 	m.flights.begin(now.UnixNano())
+	m.used.Store(now.UnixNano())
 	return Lease{member: m, rank: rank, granted: now}
 }
 
@@ -377,6 +380,9 @@
 	if m := tryTrial(v, demand, at, roll); m != nil {
 		return m
 	}
+	if m := c.neglected(now, v, demand); m != nil && m.enter() {
+		return m
+	}
 	limit := c.limitOf(v, demand, now, added)
 	for d, tier := range v.tiers {
 		if len(tier) == 0 {
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -43,6 +43,8 @@
 	// way.
 	belief  belief
 	flights flights
+	// used is the time of the last attempt in Unix nanoseconds, or 0.
+	used atomic.Int64
 }
 
 func newLoad(ceiling int32) *load {
@@ -109,8 +111,8 @@
 	}
 }
 
-// leave ends one attempt and learns from its result.
-func (m *member) leave(result mustardramp.Result, latency time.Duration, now time.Time) {
+// leave ends one attempt, learns from its result and returns what it shows.
+func (m *member) leave(result mustardramp.Result, latency time.Duration, now time.Time) symptom {
 	n := m.inFlight.Add(-1) + 1
 	switch result {
 	case mustardramp.ResultShed:
@@ -134,6 +136,7 @@
 		m.haunt(latency, now)
 	}
 	m.belief.observe(now.UnixNano(), shown)
+	return shown
 }
 
 // symptom says what a result shows of the backend's health. An answer that took
