--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -272,14 +272,27 @@
 	}
 }
 
+// drawnPorts holds the ports that freePort has returned: the system may give a
+// closed one out again before its process listens.
+var drawnPorts sync.Map
+
+// freePort returns a loopback address that is free now and was not returned
+// before.
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, drawn := drawnPorts.LoadOrStore(address, true); !drawn {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func TestProcessesServeOneRequestEndToEnd(t *testing.T) {
