--- a/backend.go
+++ b/backend.go
@@ -62,6 +62,9 @@
 	// state never moves backwards.
 	Incarnation Incarnation `json:"incarnation" cbor:"8,keyasint"`
 	Sequence    Sequence    `json:"sequence" cbor:"9,keyasint"`
+	// Instance is the backend's own name, which it keeps or changes from one
+	// incarnation to the next; empty when it states none.
+	Instance string `json:"instance,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Supersedes reports whether b is a newer statement than old.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -173,20 +173,13 @@
 func (a *attempt) send(transport *http.Transport) (*http.Response, error) {
 	x := a.x
 	out := (&http.Request{
-		Method: x.r.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       a.backend.Address.String(),
-			Path:       x.r.URL.Path,
-			RawPath:    x.r.URL.RawPath,
-			RawQuery:   x.r.URL.RawQuery,
-			ForceQuery: x.r.URL.ForceQuery,
-		},
+		Method:     x.r.Method,
+		URL:        a.target(),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 		Host:       x.r.Host,
-		Header:     x.outgoing(),
+		Header:     a.header(),
 		// Without it the transport sends a body that the backend declined.
 		Close: transport == x.h.transport.fresh,
 	}).WithContext(httptrace.WithClientTrace(a.ctx, a.trace()))
@@ -198,6 +191,33 @@
 	return transport.RoundTrip(out)
 }
 
+// target is where the attempt goes. A request of a routing table keeps its path
+// and query byte for byte.
+func (a *attempt) target() *url.URL {
+	r := a.x.r
+	target := &url.URL{
+		Scheme:     "http",
+		Host:       a.backend.Address.String(),
+		Path:       r.URL.Path,
+		RawPath:    r.URL.RawPath,
+		RawQuery:   r.URL.RawQuery,
+		ForceQuery: r.URL.ForceQuery,
+	}
+	if a.x.route.Tabled() && !strings.HasPrefix(r.RequestURI, "//") {
+		target.Opaque = rawPath(r)
+	}
+	return target
+}
+
+// header returns the headers of the attempt.
+func (a *attempt) header() http.Header {
+	header := a.x.outgoing()
+	if name := a.x.h.config.Headers.Instance; name != "" && a.backend.Instance != "" {
+		header[name] = []string{a.backend.Instance}
+	}
+	return header
+}
+
 // transport chooses a connection of its own for work that must not repeat and
 // for bodies that cannot be sent again.
 func (x *exchange) transport() *http.Transport {
@@ -362,7 +382,15 @@
 
 // shed reports whether the backend declared that it did not run the request.
 func (a *attempt) shed(response *http.Response) (mustardramp.Result, bool) {
+	headers := &a.x.h.config.Headers
+	if headers.Instance != "" && a.backend.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		// Another backend has the address.
+		return mustardramp.ResultLeaving, true
+	}
 	name := a.x.contract.Shed
+	if name == "" {
+		name = headers.NotRun
+	}
 	if name == "" {
 		return 0, false
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,6 +95,8 @@
 	// Memory bounds the bytes of request bodies held at one time; zero stands
 	// for DefaultMemory.
 	Memory mustardramp.Bytes
+	// Headers names the headers shared with callers and backends.
+	Headers Headers
 }
 
 // Handler is the http.Handler of an entry host.
@@ -110,6 +112,7 @@
 	draining atomic.Bool
 	stopping atomic.Bool
 	settler  settler
+	splits   splits
 	// base ends when the operator cuts what is still in flight. Each of bases
 	// ends with it; requests spread over them, because a context locks when
 	// another one is derived from it.
@@ -140,6 +143,7 @@
 	if config.Memory <= 0 {
 		config.Memory = DefaultMemory
 	}
+	config.Headers = config.Headers.orDefault()
 	h := &Handler{config: config, transport: newTransport(config.Dial)}
 	h.base, h.cut = context.WithCancelCause(context.Background())
 	for i := range h.bases {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -26,8 +26,10 @@
 	contract *contract.Contract
 	service  *Service
 	route    *contract.Route
-	key      mustardramp.OperationKey
-	body     body
+	// set is the configuration that the request began with.
+	set  *contract.Set
+	key  mustardramp.OperationKey
+	body body
 	// claim is set while the exchange holds the right to dispatch a keyed
 	// operation.
 	claim *mustardramp.Claim
@@ -58,6 +60,7 @@
 
 var steps = [...]func(*exchange) *mustardramp.Denial{
 	(*exchange).checkStopping,
+	(*exchange).findTableRoute,
 	(*exchange).checkRequest,
 	(*exchange).findContract,
 	(*exchange).findRoute,
@@ -78,21 +81,51 @@
 	}
 }
 
+// findTableRoute looks the request up in the routing table. A request that the
+// table has no route for may still have a contract.
+func (x *exchange) findTableRoute() *mustardramp.Denial {
+	x.set = x.h.config.Contracts()
+	if x.set == nil {
+		return &mustardramp.Denial{
+			Kind:       mustardramp.KindNoContract,
+			Reason:     "the host has no current configuration yet",
+			RetryAfter: time.Second,
+		}
+	}
+	x.route = x.set.Route(hostOf(x.r.Host), rawPath(x.r))
+	if x.route != nil {
+		x.contract = x.set.Service(x.h.splits.choose(x.h.config.Host, x.route))
+	}
+	return nil
+}
+
+// rawPath returns the path as it stands in the request line.
+func rawPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 func (x *exchange) checkRequest() *mustardramp.Denial {
+	if x.route != nil {
+		// The request passes as it is.
+		return nil
+	}
 	return check(x.r)
 }
 
 func (x *exchange) findContract() *mustardramp.Denial {
-	set := x.h.config.Contracts()
-	if set == nil {
+	if x.route != nil {
+		return nil
+	}
+	host := hostOf(x.r.Host)
+	x.contract = x.set.Host(host)
+	if x.contract == nil && x.set.HasTable() {
 		return &mustardramp.Denial{
-			Kind:       mustardramp.KindNoContract,
-			Reason:     "the host has no current configuration yet",
-			RetryAfter: time.Second,
+			Kind:   mustardramp.KindNoRoute,
+			Reason: "no route of the routing table begins the path, and no contract names the host",
+			Facts:  []mustardramp.Fact{{Name: "host", Value: host}},
 		}
 	}
-	host := hostOf(x.r.Host)
-	x.contract = set.Host(host)
 	if x.contract == nil {
 		return &mustardramp.Denial{
 			Kind:   mustardramp.KindNoService,
@@ -112,6 +145,9 @@
 }
 
 func (x *exchange) findRoute() *mustardramp.Denial {
+	if x.route != nil {
+		return nil
+	}
 	path := x.r.URL.Path
 	x.route = x.contract.Match(x.r.Method, path)
 	if bare := strings.TrimSuffix(path, "/"); bare != path && bare != "" {
@@ -143,10 +179,11 @@
 
 func (x *exchange) findDeadline() *mustardramp.Denial {
 	span := x.route.Deadline
-	if text := x.r.Header.Get(HeaderTimeout); text != "" {
+	name := x.h.config.Headers.Timeout
+	if text := x.r.Header.Get(name); text != "" {
 		ms, err := strconv.ParseUint(text, 10, 32)
 		if err != nil {
-			return malformed("the header " + HeaderTimeout + " is not a number of milliseconds")
+			return malformed("the header " + name + " is not a number of milliseconds")
 		}
 		span = min(span, time.Duration(ms)*time.Millisecond)
 	}
@@ -269,15 +306,23 @@
 		return false
 	case x.r.Context().Err() != nil || !now.Before(x.deadline):
 		return false
-	case len(x.tried) >= maxAttempts:
+	case len(x.tried) >= x.maxAttempts():
 		return false
 	}
 	return x.service.Budget != nil && x.service.Budget.Allow(x.route.Rank, now)
 }
 
-// maxAttempts bounds the backends that one request is sent to.
+// maxAttempts bounds the backends that one request of a contract's route is
+// sent to.
 const maxAttempts = 3
 
+func (x *exchange) maxAttempts() int {
+	if x.route.Tries > 0 {
+		return x.route.Tries
+	}
+	return maxAttempts
+}
+
 // end accounts for the request.
 func (x *exchange) end() {
 	x.releaseBody()
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -103,8 +103,10 @@
 	if x.r.TLS != nil {
 		header["X-Forwarded-Proto"] = secureProto
 	}
-	header[HeaderTimeout] = []string{x.remaining()}
-	header[HeaderRank] = rankNames[x.route.Rank]
+	header[x.h.config.Headers.Timeout] = []string{x.remaining()}
+	if !x.route.Tabled() {
+		header[HeaderRank] = rankNames[x.route.Rank]
+	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = noValue
 	}
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/zeebo/errs"
 	"k8s.io/klog/v2"
@@ -91,6 +90,9 @@
 
 // rule returns the line of the contract that a refusal follows from.
 func (x *exchange) rule(kind mustardramp.RefusalKind) mustardramp.Rule {
+	if x.route != nil && x.route.Tabled() {
+		return x.set.Rule(x.route)
+	}
 	if x.contract == nil {
 		return mustardramp.Rule{}
 	}
@@ -114,7 +116,7 @@
 	problem := Problem{
 		Type:     problemType + r.Kind.String(),
 		Title:    r.Kind.String(),
-		Status:   r.Kind.Status(),
+		Status:   x.status(r),
 		Detail:   r.Reason,
 		Instance: problemType + string(r.ID),
 		ID:       r.ID,
@@ -129,12 +131,34 @@
 		klog.ErrorS(err, "problem-unencoded", "id", r.ID)
 	}
 	x.refusalHeader(r, len(body))
-	x.begin(r.Kind.Status())
+	x.begin(x.status(r))
 	if x.r.Method != http.MethodHead {
 		_, _ = x.write(body)
 	}
 }
 
+// status returns the status of a refusal in a routing table's terms: 503 where
+// nothing ran, so that the caller may come back, and 502 or 504 where that is
+// not known. Contracts keep the status of the kind.
+func (x *exchange) status(r *mustardramp.Refusal) int {
+	status := r.Kind.Status()
+	if x.route == nil || !x.route.Tabled() {
+		return status
+	}
+	notRun := r.Verdict.Operation == mustardramp.NotRun
+	switch status {
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		if notRun {
+			return http.StatusServiceUnavailable
+		}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusConflict:
+		if !notRun {
+			return http.StatusBadGateway
+		}
+	}
+	return status
+}
+
 func (x *exchange) refusalHeader(r *mustardramp.Refusal, length int) {
 	header := x.w.Header()
 	header.Set("Content-Type", "application/problem+json")
@@ -145,8 +169,7 @@
 	header.Set(HeaderRule, r.Rule.String())
 	header.Set(HeaderReason, r.Kind.String())
 	if r.RetryAfter > 0 {
-		seconds := (r.RetryAfter + time.Second - 1) / time.Second
-		header.Set("Retry-After", strconv.Itoa(int(seconds)))
+		header.Set("Retry-After", x.h.config.Headers.retryAfter(r.RetryAfter))
 	}
 	if r.Kind == mustardramp.KindStopping {
 		header.Set("Connection", "close")
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -40,6 +40,12 @@
 		a.release(result)
 		return &outcome{denial: denial, repeatable: true}
 	}
+	if reason := a.foreign(response); reason != "" {
+		a.wire.fence()
+		x.mayHaveRun()
+		a.release(mustardramp.ResultFalse)
+		return a.spoiled(mustardramp.KindBadAnswer, reason, nil)
+	}
 	x.ran()
 	if x.route.Whole && closeDelimited(response) {
 		a.release(mustardramp.ResultFalse)
@@ -97,7 +103,7 @@
 // holds reports whether the start of the answer is held back until it fills
 // the buffer.
 func (a *attempt) holds(response *http.Response) bool {
-	return response.ContentLength >= 0 || a.x.route.Whole || a.x.claim != nil
+	return response.ContentLength >= 0 || a.x.route.Whole || a.x.claim != nil || a.x.route.Tabled()
 }
 
 // expectation returns the digest that the answer must have. The answer to a
@@ -147,7 +153,7 @@
 
 // mayHold reports whether another attempt could replace a failed answer.
 func (x *exchange) mayHold() bool {
-	return len(x.tried) < maxAttempts && x.body.replayable()
+	return len(x.tried) < x.maxAttempts() && x.body.replayable()
 }
 
 func resultOf(status int) mustardramp.Result {
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -60,6 +60,7 @@
 		Clock:        e.clock,
 		Refusals:     &e.refusals,
 		CallerHeader: config.CallerHeader,
+		Headers:      config.Headers,
 	})
 	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.secrets.traffic)
 	e.answerHosts()
--- a/internal/host/common.go
+++ b/internal/host/common.go
@@ -134,6 +134,9 @@
 }
 
 func addressOf(l net.Listener) netip.AddrPort {
+	if l == nil {
+		return netip.AddrPort{}
+	}
 	if tcp, ok := l.Addr().(*net.TCPAddr); ok {
 		return tcp.AddrPort()
 	}
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -19,6 +20,7 @@
 	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/placement"
 	"github.com/mustardramp/mustardramp/internal/registry"
+	"github.com/mustardramp/mustardramp/internal/roster"
 	"github.com/mustardramp/mustardramp/internal/setting"
 )
 
@@ -27,6 +29,15 @@
 	Common
 	// Data is the folder of the durable state.
 	Data string
+	// Size, when it is above 0, is the number of control hosts that hold the
+	// contracts. They find each other by Seeds, and Control is empty; ledgers
+	// for keyed routes are not kept then.
+	Size int
+	// First is true at the first start of a fleet with a Size.
+	First bool
+	// Lease is how long a backend counts as present after an announcement that
+	// this host took in; zero stands for roster.DefaultLease.
+	Lease time.Duration
 }
 
 // Control is the process of a control host. NewControl makes one.
@@ -37,9 +48,12 @@
 	secrets     secrets
 	state       registry.State
 	desk        registry.Desk
-	server      link.Server
-	links       links
-	exchange    *exchange.Exchange
+	roster      roster.Table
+	// formed is set once the group of the contracts had its size.
+	formed   atomic.Bool
+	server   link.Server
+	links    links
+	exchange *exchange.Exchange
 	// groups are the ones that this host is in; the contracts' is the first.
 	groups    []*group
 	ledgers   []*ledger.Desk
@@ -47,6 +61,8 @@
 	drainOnce sync.Once
 
 	linkListener, adminListener net.Listener
+	// surfaces are what Open added.
+	surfaces []*surface
 }
 
 // NewControl opens the host's listeners.
@@ -77,6 +93,14 @@
 	c.server.TLS = c.secrets.linkServer
 	c.links.tls = c.secrets.linkClient
 	c.state.Watch(c.spread)
+	c.state.WatchLeavings(c.spreadLeavings)
+	if c.config.Size > 0 {
+		g, err := c.openSeeded(&c.state)
+		if err != nil {
+			return err
+		}
+		c.groups = append(c.groups, g)
+	}
 	for _, p := range placement.Groups(c.config.Control) {
 		if !p.Has(c.config.Name) {
 			continue
@@ -95,7 +119,9 @@
 		Log:   log,
 		Clock: c.config.Clock,
 	})
+	c.roster.Pass = c.exchange.Offer
 	c.spread(c.state.InForce())
+	c.spreadLeavings(c.state.Leavings())
 	link.Handle(&c.server.Router, methodState, func(context.Context, struct{}) (hostState, error) {
 		return hostState{Index: c.index(), Ready: c.exchange.Ready()}, nil
 	})
@@ -202,9 +228,14 @@
 	for _, d := range c.ledgers {
 		group.Go(func() error { return d.Run(ctx) })
 	}
+	c.exchange.Watch(mustardramp.RecordBackend, c.learnBackend)
 	group.Go(func() error {
 		return every(ctx, membersPause, func() { c.links.set(c.exchange.Members()) })
 	})
+	group.Go(func() error { return every(ctx, expirePause, c.expireLeases) })
+	for _, s := range c.surfaces {
+		group.Go(func() error { return s.serve(ctx) })
+	}
 	group.Go(func() error { return serveHTTP(ctx, c.adminListener, c.secrets.admin, c.administration()) })
 	group.Go(func() error {
 		defer end()
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -31,7 +31,8 @@
 // EntryConfig are the settings of an entry host, checked.
 type EntryConfig struct {
 	Common
-	Listen        netip.AddrPort
+	Listen netip.AddrPort
+	// Announce is not valid where backends announce themselves elsewhere.
 	Announce      netip.AddrPort
 	AnnounceToken string
 	CallerHeader  string
@@ -40,6 +41,11 @@
 	// StopDelay is the time from the fall of readiness to the end of
 	// accepting.
 	StopDelay time.Duration
+	// Headers names the headers shared with callers and backends.
+	Headers entry.Headers
+	// Slack is the number of further attempts that the whole fleet may make in
+	// ten seconds beyond the services' budgets.
+	Slack int
 }
 
 // Entry is the process of an entry host. NewEntry makes one.
@@ -72,6 +78,8 @@
 	// The listeners are open from NewEntry on, so that their addresses are
 	// known.
 	trafficListener, announceListener, adminListener, linkListener net.Listener
+	// surfaces are what Open added.
+	surfaces []*surface
 }
 
 // NewEntry opens the host's listeners.
@@ -103,6 +111,9 @@
 		{&e.adminListener, e.config.Admin},
 		{&e.linkListener, e.config.Link},
 	} {
+		if !l.address.IsValid() {
+			continue
+		}
 		var err error
 		if *l.listener, err = listen(l.address); err != nil {
 			return err
--- a/internal/host/group.go
+++ b/internal/host/group.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"path/filepath"
 
 	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
 	fleetapi "github.com/mustardramp/mustardramp/gen/fleet"
@@ -48,6 +50,42 @@
 	return g, nil
 }
 
+// openSeeded opens this host's member of the group of the contracts in a fleet
+// whose control hosts no setting lists. Its hosts are named by the addresses of
+// their links, so that one known from the log can be reached.
+func (c *Control) openSeeded(machine mustardramp.Machine) (*group, error) {
+	g := &group{Group: placement.Group{Name: placement.Contracts}}
+	for _, s := range c.config.Seeds {
+		g.Hosts = append(g.Hosts, mustardramp.HostName(s.String()))
+	}
+	self := mustardramp.HostName(c.Link().String())
+	g.links = quorum.NewLinks(placement.Contracts, self, nil)
+	g.links.Dial = func(name mustardramp.HostName) link.Caller {
+		address, err := netip.ParseAddrPort(string(name))
+		if err != nil {
+			klog.ErrorS(err, "member-without-address", "host", name)
+			return nil
+		}
+		return &link.Client{Address: address, TLS: c.secrets.linkClient}
+	}
+	var err error
+	g.log, err = quorum.Open(quorum.Config{
+		Group:     placement.Contracts,
+		Host:      self,
+		Hosts:     g.Hosts,
+		Size:      c.config.Size,
+		First:     c.config.First,
+		Folder:    filepath.Join(c.config.Data, placement.Contracts),
+		Machine:   machine,
+		Transport: g.links,
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.links.Serve(&c.server.Router, g.log)
+	return g, nil
+}
+
 // run takes part in the group until the context ends or the disk fails.
 func (g *group) run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -9,6 +9,7 @@
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/membership"
+	"github.com/mustardramp/mustardramp/internal/registry"
 )
 
 // Run serves until the context ends or the host is drained, and then until the
@@ -26,8 +27,13 @@
 	group.Go(func() error { return every(inner, stepPause, e.step) })
 	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
 	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
-	group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
+	if e.announceListener != nil {
+		group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcements()) })
+	}
 	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.secrets.admin, e.administration()) })
+	for _, s := range e.surfaces {
+		group.Go(func() error { return s.serve(inner) })
+	}
 	group.Go(func() error { return e.traffic.Serve(e.trafficListener) })
 	group.Go(func() error {
 		defer end()
@@ -54,7 +60,7 @@
 
 // watch takes in what other hosts spread.
 func (e *Entry) watch() {
-	e.exchange.Watch(mustardramp.RecordChange, e.contracts.Merge)
+	e.exchange.Watch(mustardramp.RecordChange, e.learnChange)
 	e.exchange.Watch(mustardramp.RecordBackend, func(r mustardramp.Record) {
 		if err := e.roster.Merge(e.clock.Now(), r); err != nil {
 			klog.ErrorS(err, "backend-record-refused", "key", r.Key)
@@ -68,6 +74,22 @@
 	e.exchange.Watch(mustardramp.RecordPressure, e.learnPressure)
 }
 
+// learnChange takes in a committed change: a configuration, or the leaving of a
+// backend.
+func (e *Entry) learnChange(record mustardramp.Record) {
+	if !registry.IsLeaving(record) {
+		e.contracts.Merge(record)
+		return
+	}
+	leaving, err := registry.DecodeLeaving(record)
+	if err != nil {
+		klog.ErrorS(err, "leaving-unreadable", "key", record.Key)
+		return
+	}
+	klog.InfoS("backend-leaving", "instance", leaving.Instance, "incarnation", leaving.Incarnation, "index", leaving.Index)
+	e.roster.Depart(e.clock.Now(), leaving.Instance, leaving.Incarnation)
+}
+
 // step takes up the present members and decides the standings of all backends.
 func (e *Entry) step() {
 	if !e.ready.Load() && e.exchange.Ready() {
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -44,7 +44,7 @@
 		c.appendMembership(c.membership().without(change.Remove))
 		return
 	}
-	if change.Add == nil || !c.joinable[change.Add.Host] {
+	if change.Add == nil || !c.mayJoin(change.Add.Host) {
 		return
 	}
 	if _, ok := c.membership().Member(change.Add.ID); ok {
@@ -54,6 +54,18 @@
 	c.appendMembership(c.membership().with(learner))
 }
 
+// learnerLimit bounds the members without a vote of a group without a list of
+// hosts.
+const learnerLimit = 8
+
+// mayJoin reports whether a new identity of a host may be added.
+func (c *core) mayJoin(host mustardramp.HostName) bool {
+	if c.size == 0 {
+		return c.joinable[host]
+	}
+	return len(c.membership())-c.membership().voters() < learnerLimit
+}
+
 func (c *core) appendMembership(membership Membership) {
 	c.appendOwn(Entry{Kind: EntryMembership, Membership: membership})
 	c.followMembership()
@@ -71,6 +83,12 @@
 			continue
 		}
 		old, ok := c.otherOf(member)
+		if !ok && c.isFull() {
+			old, ok = c.silentVoter()
+			if !ok {
+				return
+			}
+		}
 		if !ok {
 			member.Voter = true
 			c.appendMembership(c.membership().with(member))
@@ -83,6 +101,21 @@
 	}
 }
 
+// isFull reports whether the group has as many voters as it grows to.
+func (c *core) isFull() bool {
+	return c.size > 0 && c.membership().voters() >= c.size
+}
+
+// silentVoter returns a voter whose place another member may take.
+func (c *core) silentVoter() (MemberID, bool) {
+	for _, member := range c.membership() {
+		if member.Voter && c.isSilent(member.ID) {
+			return member.ID, true
+		}
+	}
+	return 0, false
+}
+
 func (c *core) hasCaughtUp(id MemberID) bool {
 	p := c.leading.peers[id]
 	return p != nil && p.match >= c.commit && p.silent < c.timing.Election
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -66,6 +66,9 @@
 	appendBytes int
 	// joinable lists the hosts whose new identities the leader adds.
 	joinable map[mustardramp.HostName]bool
+	// size is the number of voters that a group without a list of hosts grows
+	// to; 0 for one with a list.
+	size int
 
 	state hardState
 	log   entries
--- a/internal/quorum/founder.go
+++ b/internal/quorum/founder.go
@@ -14,14 +14,26 @@
 // identities that they named: none of them can have acknowledged anything. As
 // soon as one host is not blank, the member asks to join that host's group
 // instead; so does a host that lost its disk.
+//
+// A group of a given size, whose hosts no list names, is founded by its seeds:
+// those that all hosts are told at the first start. Any other host joins it.
 type founder struct {
 	self  Member
 	hosts []mustardramp.HostName
+	// size is the number of voters that the group grows to, or 0 when it has
+	// all hosts of the list and no others.
+	size int
+	// first is true when no host has a disk of an earlier group, so that one
+	// may be founded.
+	first bool
+	// lonely counts the ticks without a leader.
+	lonely int
 	// blank holds the identities of the hosts that answered.
 	blank map[mustardramp.HostName]Member
-	// member is a host that is not blank, or nil.
-	member *Member
-	wait   int
+	// members are the hosts that answered since the last question that they are
+	// not blank. All of them are asked to join: only the leader acts.
+	members []Member
+	wait    int
 }
 
 // letter is a message to a host.
@@ -30,17 +42,27 @@
 	m    Message
 }
 
-func newFounder(self Member, hosts []mustardramp.HostName) *founder {
+func newFounder(self Member, config *Config) *founder {
 	return &founder{
 		self:  self,
-		hosts: hosts,
+		hosts: config.Hosts,
+		size:  config.Size,
+		first: config.Size == 0 || config.First,
 		blank: map[mustardramp.HostName]Member{self.Host: self},
 	}
 }
 
+// lonelyTicks is the time without a leader after which a member of a group
+// without a list asks to join again: it may have been removed unheard.
+const lonelyTicks = 60
+
 // tick asks again what is not answered yet.
 func (f *founder) tick(c *core) []letter {
-	if c.log.last() > 0 {
+	if c.leader != 0 {
+		f.lonely = 0
+	}
+	f.lonely++
+	if c.log.last() > 0 && (f.size == 0 || f.lonely < lonelyTicks) {
 		return nil
 	}
 	f.tryFound(c)
@@ -49,15 +71,24 @@
 		return nil
 	}
 	f.wait = helloEvery
-	if f.member != nil {
-		return f.askToJoin()
+	return append(f.hello(c), f.askToJoin()...)
+}
+
+// known lists the hosts to ask: those of the settings, and those of the group as
+// the log knows it, since seeds may have gone.
+func (f *founder) known(c *core) []mustardramp.HostName {
+	hosts := slices.Clone(f.hosts)
+	for _, m := range c.membership() {
+		if !slices.Contains(hosts, m.Host) {
+			hosts = append(hosts, m.Host)
+		}
 	}
-	return f.hello()
+	return hosts
 }
 
-func (f *founder) hello() []letter {
+func (f *founder) hello(c *core) []letter {
 	var letters []letter
-	for _, host := range f.hosts {
+	for _, host := range f.known(c) {
 		if host != f.self.Host {
 			m := Message{Kind: MessageHello, From: f.self.ID, Sender: &f.self}
 			letters = append(letters, letter{host, m})
@@ -67,16 +98,18 @@
 }
 
 func (f *founder) askToJoin() []letter {
-	m := Message{
-		Kind:   MessageChange,
-		From:   f.self.ID,
-		To:     f.member.ID,
-		Change: &Change{Add: &f.self},
+	var letters []letter
+	for _, member := range f.members {
+		m := Message{
+			Kind:   MessageChange,
+			From:   f.self.ID,
+			To:     member.ID,
+			Change: &Change{Add: &f.self},
+		}
+		letters = append(letters, letter{member.Host, m})
 	}
-	host := f.member.Host
-	// The next question finds another host if this one has gone.
-	f.member = nil
-	return append(f.hello(), letter{host, m})
+	f.members = nil
+	return letters
 }
 
 // handle takes in a hello or its answer.
@@ -84,6 +117,10 @@
 	if m.Sender == nil {
 		return nil
 	}
+	if m.Kind == MessageHello && c.isBlank() && !f.first {
+		// It can neither found a group nor bring the other into one.
+		return nil
+	}
 	if m.Kind == MessageHello {
 		answer := Message{
 			Kind:   MessageHelloReply,
@@ -101,13 +138,15 @@
 		f.blank[m.Sender.Host] = *m.Sender
 		return nil
 	}
-	f.member = m.Sender
+	if !slices.ContainsFunc(f.members, func(known Member) bool { return known.ID == m.Sender.ID }) {
+		f.members = append(f.members, *m.Sender)
+	}
 	return nil
 }
 
 // tryFound founds the group once all hosts are known to be blank.
 func (f *founder) tryFound(c *core) {
-	if !c.isBlank() || f.member != nil || f.self.Host != slices.Min(f.hosts) {
+	if !f.first || !c.isBlank() || len(f.members) > 0 || f.self.Host != slices.Min(f.hosts) {
 		return
 	}
 	var membership Membership
--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -50,6 +50,14 @@
 	// Hosts lists the hosts of the group, Host included. It founds the group
 	// when all of them are blank, and later says who may join.
 	Hosts []mustardramp.HostName
+	// Size, when it is above 0, is the number of voters that the group grows
+	// to. Hosts then lists the seeds that found it, this host not always among
+	// them, and any host may join; one beyond the size waits until a voter
+	// falls silent and takes its place.
+	Size int
+	// First is true at the first start of a group with a Size: only then may
+	// it be founded.
+	First bool
 	// Folder belongs to this member alone.
 	Folder    string
 	Disk      disk.Disk
@@ -174,8 +182,9 @@
 	}
 	c.self = id.Member
 	c.allow(g.config.Hosts)
+	c.size = g.config.Size
 	g.core, g.id = c, *id
-	g.founder = newFounder(id.Member, g.config.Hosts)
+	g.founder = newFounder(id.Member, &g.config)
 	if c.snapshot != nil {
 		g.waiting.applied = c.snapshot.Index
 		return g.config.Machine.Restore(c.snapshot.State)
--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -48,12 +48,17 @@
 // implements Transport. Parcels to a host travel side by side and are put in
 // order again at its end.
 type Links struct {
-	method  string
-	self    mustardramp.HostName
-	outlets map[mustardramp.HostName]*outlet
+	method string
+	self   mustardramp.HostName
+	// Dial returns the link to a host that was not among the peers, or nil; it
+	// is set before Run, or nil.
+	Dial func(mustardramp.HostName) link.Caller
 
-	mu     sync.Mutex
-	inlets map[mustardramp.HostName]*inlet
+	mu      sync.Mutex
+	outlets map[mustardramp.HostName]*outlet
+	inlets  map[mustardramp.HostName]*inlet
+	// start runs an outlet; it is nil until Run.
+	start func(*outlet)
 }
 
 var _ Transport = (*Links)(nil)
@@ -67,23 +72,41 @@
 		inlets:  map[mustardramp.HostName]*inlet{},
 	}
 	for host, caller := range peers {
-		l.outlets[host] = &outlet{
-			links:  l,
-			caller: caller,
-			wake:   make(chan struct{}, 1),
-			stream: rand.Uint64(),
-		}
+		l.outlets[host] = l.newOutlet(caller)
 	}
 	return l
 }
 
+func (l *Links) newOutlet(caller link.Caller) *outlet {
+	return &outlet{links: l, caller: caller, wake: make(chan struct{}, 1), stream: rand.Uint64()}
+}
+
 // Send implements Transport.
 func (l *Links) Send(to mustardramp.HostName, m Message) {
-	if o := l.outlets[to]; o != nil {
+	if o := l.outlet(to); o != nil {
 		o.put(m)
 	}
 }
 
+// outlet returns the outlet to a host, or nil when it cannot be reached.
+func (l *Links) outlet(to mustardramp.HostName) *outlet {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o := l.outlets[to]; o != nil || l.Dial == nil || to == l.self {
+		return o
+	}
+	caller := l.Dial(to)
+	if caller == nil {
+		return nil
+	}
+	o := l.newOutlet(caller)
+	l.outlets[to] = o
+	if l.start != nil {
+		l.start(o)
+	}
+	return o
+}
+
 // Serve has the group take in the messages that reach the router.
 func (l *Links) Serve(router *link.Router, g *Group) {
 	link.Handle(router, l.method, func(_ context.Context, p parcel) (receipt, error) {
@@ -95,9 +118,20 @@
 // Run sends until the context ends.
 func (l *Links) Run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
+	l.mu.Lock()
+	l.start = func(o *outlet) { work.Go(func() error { return o.run(ctx) }) }
 	for _, o := range l.outlets {
-		work.Go(func() error { return o.run(ctx) })
+		l.start(o)
 	}
+	l.mu.Unlock()
+	work.Go(func() error {
+		<-ctx.Done()
+		// No outlet starts once the others are waited for.
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.start = nil
+		return nil
+	})
 	_ = work.Wait()
 	return nil
 }
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -31,6 +31,8 @@
 	// At is the proposer's time.
 	At    time.Time `cbor:"4,keyasint"`
 	Files []File    `cbor:"5,keyasint"`
+	// Leaving is set in place of Files by a backend that leaves.
+	Leaving *Leaving `cbor:"6,keyasint,omitempty"`
 }
 
 // ServiceRevision names a revision of a service's contract.
@@ -72,6 +74,11 @@
 	Reused *Change `cbor:"4,keyasint,omitempty"`
 	// Broken is set when the command cannot be decoded.
 	Broken string `cbor:"5,keyasint,omitempty"`
+	// Held is set when a routing table is no newer than the one in force,
+	// which stays.
+	Held contract.TableVersion `cbor:"6,keyasint,omitempty"`
+	// Left is set when a backend's leaving was recorded, or was before.
+	Left bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode returns the command's bytes for the log.
--- a/internal/registry/desk.go
+++ b/internal/registry/desk.go
@@ -86,6 +86,35 @@
 	return decoded, err
 }
 
+// Leave commits that an incarnation of a backend leaves, so that the word is
+// kept whatever becomes of this host. It reports whether it stands.
+func (d *Desk) Leave(ctx context.Context, leaving Leaving) error {
+	if d.State.HasLeft(leaving.Instance, leaving.Incarnation) {
+		return nil
+	}
+	encoded, err := Command{Leaving: &leaving}.Encode()
+	if err != nil {
+		return err
+	}
+	result, err := d.Log.Propose(ctx, encoded)
+	if err != nil {
+		return err
+	}
+	decoded, err := DecodeResult(result)
+	if err == nil && !decoded.Left {
+		return Error.New("the leaving of %s was not recorded: %s", leaving.Instance, decoded.Broken)
+	}
+	return err
+}
+
+// Table returns the routing table in force, confirmed by a quorum, or nil.
+func (d *Desk) Table(ctx context.Context) (*contract.Table, error) {
+	if err := d.Log.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	return d.State.Table(), nil
+}
+
 // awaitCopies waits for copies of a change. The change is in force whether they
 // are confirmed or not.
 func (d *Desk) awaitCopies(ctx context.Context, change *Change) {
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -12,13 +12,15 @@
 	History map[mustardramp.ServiceName][]Entry `cbor:"1,keyasint"`
 	Changes []Change                            `cbor:"2,keyasint"`
 	Dropped int                                 `cbor:"3,keyasint"`
+	// Leavings are in the order of their indexes.
+	Leavings []Leaving `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot returns the whole state.
 func (s *State) Snapshot() ([]byte, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	b, err := cbor.Marshal(snapshotForm{History: s.history, Changes: s.changes, Dropped: s.dropped})
+	b, err := cbor.Marshal(snapshotForm{History: s.history, Changes: s.changes, Dropped: s.dropped, Leavings: s.departed()})
 	return b, Error.Wrap(err)
 }
 
@@ -49,12 +51,19 @@
 		fresh.byID[c.ID] = fresh.dropped + len(fresh.changes)
 		fresh.changes = append(fresh.changes, c)
 	}
+	for _, l := range form.Leavings {
+		fresh.keepLeaving(l)
+	}
 	s.mu.Lock()
 	s.history, s.changes, s.byID = fresh.history, fresh.changes, fresh.byID
 	s.dropped, s.parsed = fresh.dropped, fresh.parsed
+	s.leavings, s.leftOrder = fresh.leavings, fresh.leftOrder
 	s.mu.Unlock()
 	if s.watch != nil {
 		s.watch(s.InForce())
 	}
+	if s.left != nil {
+		s.left(form.Leavings)
+	}
 	return nil
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -16,6 +16,9 @@
 const (
 	// keptRevisions is how many texts of a service stay readable.
 	keptRevisions = 32
+	// keptTables is how many routing tables stay readable; they are larger than
+	// contracts.
+	keptTables = 4
 	// keptChanges bounds the change log, and with it the ids of changes that
 	// are recognised when they are resent: two days at 21,000 a day.
 	keptChanges = 42000
@@ -48,6 +51,11 @@
 	// parsed holds the contracts in force.
 	parsed map[mustardramp.ServiceName]*contract.Contract
 	watch  func([]Entry)
+	// leavings holds the newest leaving of each instance; leftOrder lists the
+	// instances by the index of their leaving, oldest first.
+	leavings  map[string]Leaving
+	leftOrder []string
+	left      func([]Leaving)
 }
 
 // Watch sets the function that is told of accepted entries. It is set before
@@ -62,6 +70,9 @@
 	if err := cbor.Unmarshal(command, &c); err != nil {
 		return encode(Result{Broken: err.Error()})
 	}
+	if c.Leaving != nil {
+		return encode(s.applyLeaving(index, *c.Leaving))
+	}
 	s.mu.Lock()
 	result, accepted := s.apply(index, c)
 	s.mu.Unlock()
@@ -96,6 +107,9 @@
 	if len(faults) > 0 {
 		return Result{Faults: faults}, nil
 	}
+	if held := s.held(contracts); held > 0 {
+		return Result{Held: held}, nil
+	}
 	for i, k := range contracts {
 		if conflict := s.conflict(k, c.Files[i]); conflict != nil {
 			return Result{Conflict: conflict}, nil
@@ -182,9 +196,25 @@
 	return faults
 }
 
+// held returns the version of the routing table in force when a change brings
+// one that is no newer, or 0.
+func (s *State) held(contracts []*contract.Contract) contract.TableVersion {
+	known := s.parsed[contract.TableName]
+	if known == nil {
+		return 0
+	}
+	for _, k := range contracts {
+		if k.Table != nil && k.Table.Version <= known.Table.Version {
+			return known.Table.Version
+		}
+	}
+	return 0
+}
+
 func (s *State) conflict(k *contract.Contract, f File) *Conflict {
 	newest := s.newest(k.Service)
-	if newest.Revision == f.Base {
+	// Routing tables are ordered by their own version.
+	if newest.Revision == f.Base || k.Table != nil {
 		return nil
 	}
 	return &Conflict{
@@ -235,8 +265,12 @@
 
 func (s *State) append(e Entry, k *contract.Contract) {
 	h := append(s.history[e.Service], e)
-	if len(h) > keptRevisions {
-		h = append([]Entry(nil), h[len(h)-keptRevisions:]...)
+	kept := keptRevisions
+	if k.Table != nil {
+		kept = keptTables
+	}
+	if len(h) > kept {
+		h = append([]Entry(nil), h[len(h)-kept:]...)
 	}
 	s.history[e.Service] = h
 	s.parsed[e.Service] = k
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,6 +5,7 @@
 package roster
 
 import (
+	"net/netip"
 	"sort"
 	"time"
 
@@ -61,6 +62,12 @@
 	entries map[mustardramp.BackendID]*entry
 	// services holds the same entries by service.
 	services map[mustardramp.ServiceName]map[mustardramp.BackendID]*entry
+	// addresses holds the newest incarnation at each address, of whatever
+	// service: an address can pass from one service to another.
+	addresses map[netip.AddrPort]*entry
+	// departed holds the newest incarnation of each instance whose leaving is
+	// on record.
+	departed map[string]departure
 	// changed collects the services whose view changed since the last call of
 	// Changed.
 	changed map[mustardramp.ServiceName]bool
@@ -97,7 +104,7 @@
 func (r *Roster) View(service mustardramp.ServiceName) []mustardramp.Backend {
 	var out []mustardramp.Backend
 	for _, e := range r.services[service] {
-		if e.visible() {
+		if e.visible() && !r.replaced(e) && !r.hasDeparted(e.statement.Backend) {
 			out = append(out, e.statement.Backend)
 		}
 	}
@@ -133,6 +140,8 @@
 	}
 	r.entries = map[mustardramp.BackendID]*entry{}
 	r.services = map[mustardramp.ServiceName]map[mustardramp.BackendID]*entry{}
+	r.addresses = map[netip.AddrPort]*entry{}
+	r.departed = map[string]departure{}
 	r.changed = map[mustardramp.ServiceName]bool{}
 }
 
@@ -160,6 +169,7 @@
 	if b.State == mustardramp.Gone {
 		e.goneAt = now
 	}
+	r.occupy(e)
 	r.changed[b.Service] = true
 	return e
 }
@@ -176,6 +186,9 @@
 func (r *Roster) remove(e *entry) {
 	b := e.statement.Backend
 	delete(r.entries, b.ID)
+	if r.addresses[b.Address] == e {
+		delete(r.addresses, b.Address)
+	}
 	delete(r.services[b.Service], b.ID)
 	if len(r.services[b.Service]) == 0 {
 		delete(r.services, b.Service)
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -37,6 +37,15 @@
 	return t.write(func(r *Roster) ([]mustardramp.Record, error) { return r.Leave(now, id, dispatched) })
 }
 
+// Depart is Roster.Depart.
+func (t *Table) Depart(now time.Time, instance string, incarnation mustardramp.Incarnation) {
+	// Without a record there is nothing that could fail.
+	_ = t.write(func(r *Roster) ([]mustardramp.Record, error) {
+		r.Depart(now, instance, incarnation)
+		return nil, nil
+	})
+}
+
 // Merge is Roster.Merge.
 func (t *Table) Merge(now time.Time, record mustardramp.Record) error {
 	return t.write(func(r *Roster) ([]mustardramp.Record, error) { return r.Merge(now, record) })
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -28,6 +28,7 @@
 	"github.com/mustardramp/mustardramp/pkg/cmd/ledger/settle"
 	ledgershow "github.com/mustardramp/mustardramp/pkg/cmd/ledger/show"
 	metricslist "github.com/mustardramp/mustardramp/pkg/cmd/metrics/list"
+	"github.com/mustardramp/mustardramp/pkg/cmd/platform"
 	refusallist "github.com/mustardramp/mustardramp/pkg/cmd/refusal/list"
 	"github.com/mustardramp/mustardramp/pkg/cmd/refusal/why"
 	"github.com/mustardramp/mustardramp/pkg/cmd/version"
@@ -78,6 +79,11 @@
 	List metricslist.Options `cmd:"" help:"List a host's histograms by service, rank and caller."`
 }
 
+type platformCommands struct {
+	Entry   platform.Entry   `cmd:"" help:"Run an entry host with the platform's settings."`
+	Control platform.Control `cmd:"" help:"Run a control host with the platform's settings."`
+}
+
 type commands struct {
 	Entry    entryCommands    `cmd:"" help:"Run entry hosts."`
 	Control  controlCommands  `cmd:"" help:"Run control hosts."`
@@ -88,6 +94,7 @@
 	Refusal  refusalCommands  `cmd:"" help:"Explain refusals."`
 	Ledger   ledgerCommands   `cmd:"" help:"Look at once-only operations."`
 	Metrics  metricsCommands  `cmd:"" help:"Read measurements."`
+	Platform platformCommands `cmd:"" help:"Run hosts on the users' platform."`
 	Version  version.Options  `cmd:"" help:"Print the version."`
 }
 
@@ -99,13 +106,14 @@
 			Check: check.New(f), Publish: publish.New(f), List: contractlist.New(f),
 			Show: contractshow.New(f), Diff: diff.New(f), Log: log.New(f),
 		},
-		Fleet:   fleetCommands{Status: status.New(f), Try: try.New(f)},
-		Backend: backendCommands{List: backendlist.New(f), Try: backendtry.New(f)},
-		Host:    hostCommands{Drain: drain.New(f)},
-		Refusal: refusalCommands{Why: why.New(f), List: refusallist.New(f)},
-		Ledger:  ledgerCommands{Show: ledgershow.New(f), Settle: settle.New(f)},
-		Metrics: metricsCommands{List: metricslist.New(f)},
-		Version: version.New(f),
+		Fleet:    fleetCommands{Status: status.New(f), Try: try.New(f)},
+		Backend:  backendCommands{List: backendlist.New(f), Try: backendtry.New(f)},
+		Host:     hostCommands{Drain: drain.New(f)},
+		Refusal:  refusalCommands{Why: why.New(f), List: refusallist.New(f)},
+		Ledger:   ledgerCommands{Show: ledgershow.New(f), Settle: settle.New(f)},
+		Metrics:  metricsCommands{List: metricslist.New(f)},
+		Platform: platformCommands{Entry: platform.NewEntry(f)},
+		Version:  version.New(f),
 	}
 }
 
--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -42,6 +42,9 @@
 	Routes []Route
 	// Source is the text of the file.
 	Source []byte
+	// Table is set in the form in which a routing table travels, whose Service
+	// is TableName; the fields above but Revision and Source are then empty.
+	Table *Table
 
 	lines map[string]int
 	tree  *node
@@ -80,6 +83,25 @@
 	Whole bool
 	// Line is the line of the route in the file, from 1.
 	Line int
+
+	// The fields below are set in routes of a routing table alone.
+
+	// Prefix is what the path starts with; it starts and ends with a slash.
+	Prefix string
+	// Name is the route's own name.
+	Name string
+	// Target is the time within which an answer has its full value, or 0.
+	Target time.Duration
+	// Tries is the most backends that one request is sent to.
+	Tries int
+	// Parts is never empty in a route of a routing table.
+	Parts []Part
+}
+
+// Tabled reports whether the route belongs to a routing table: its requests
+// pass byte for byte, whatever their path.
+func (r *Route) Tabled() bool {
+	return len(r.Parts) > 0
 }
 
 // Rule returns the rule at a line of the contract.
--- a/pkg/contract/parse.go
+++ b/pkg/contract/parse.go
@@ -43,6 +43,9 @@
 
 // Parse reads one file. The error is Faults with every fault found.
 func Parse(file string, source []byte) (*Contract, error) {
+	if isTable(source) {
+		return parseTableContract(file, source)
+	}
 	d := &document{file: file}
 	if len(source) > int(MaxSize) {
 		d.fault(position{}, "the file is larger than 256 KiB", "split the service")
--- a/pkg/contract/set.go
+++ b/pkg/contract/set.go
@@ -14,6 +14,9 @@
 	Index     mustardramp.Index
 	services  map[mustardramp.ServiceName]*Contract
 	hostNames map[string]*Contract
+	// table is nil while no routing table is in force.
+	table         *lookup
+	tableRevision mustardramp.Revision
 }
 
 // NewSet builds a set from contracts that CheckSet found free of faults.
@@ -24,6 +27,10 @@
 		hostNames: make(map[string]*Contract, len(contracts)),
 	}
 	for _, c := range contracts {
+		if c.Table != nil {
+			s.addTable(c)
+			continue
+		}
 		s.services[c.Service] = c
 		for _, h := range c.Hosts {
 			s.hostNames[h] = c
@@ -32,6 +39,19 @@
 	return s
 }
 
+// addTable takes in a routing table. A service that has a contract of its own
+// keeps it.
+func (s *Set) addTable(c *Contract) {
+	s.tableRevision = c.Revision
+	var services []*Contract
+	s.table, services = compileTable(c)
+	for _, k := range services {
+		if known := s.services[k.Service]; known == nil {
+			s.services[k.Service] = k
+		}
+	}
+}
+
 // Service returns the contract of a service, or nil.
 func (s *Set) Service(name mustardramp.ServiceName) *Contract {
 	if s == nil {
