--- a/internal/admin/contract.go
+++ b/internal/admin/contract.go
@@ -59,6 +59,8 @@
 		}
 	case len(result.Faults) > 0:
 		return nil, &api.Faults{Name: "faults", Faults: faultsOf(result.Faults)}
+	case result.Held > 0:
+		return nil, named(errInvalid, "routing table %d is in force and stays: publish a higher version", result.Held)
 	case result.Reused != nil:
 		return nil, named(errInvalid, "change id %s was used for another change by %s: take a new id", result.Reused.ID, result.Reused.Who)
 	default:
--- a/pkg/cmd/root/root_test.go
+++ b/pkg/cmd/root/root_test.go
@@ -140,6 +140,10 @@
 	good := b.file("mohor.yaml", mohor)
 	changed := b.file("changed.yaml", "service: mohor\nfloor: 90\nroutes:\n- {path: /a, methods: [GET]}\n")
 	bad := b.file("bad.yaml", "service: mohor\nfloor: 900\nroutes:\n- {path: /a, methods: [GET]}\n")
+	table := func(name, version string) string {
+		return b.file(name, "table: "+version+"\nroutes: [{name: r, host: h.example, prefix: /a/, kind: safe, priority: 0, service: patha}]\nservices: [{name: patha}]\nlimits: {}\n")
+	}
+	newer, older := table("newer.yaml", "7"), table("older.yaml", "6")
 	b.memory.Add(mustardramp.Refusal{
 		ID: "entry-1.a.1", Kind: mustardramp.KindQueueFull, Verdict: mustardramp.Not(), Host: "entry-1",
 		Rule: mustardramp.Rule{Service: "mohor", Revision: 1, Line: 3}, Reason: "the queue is full",
@@ -165,6 +169,9 @@
 		{"list json", []string{"contract", "list", "--json"}, 0, []string{`"revision": 2`}},
 		{"show", []string{"contract", "show", "mohor", "--revision", "1"}, 0, []string{mohor}},
 		{"show unknown", []string{"contract", "show", "nope"}, factory.ExitNotFound, nil},
+		{"publish a table", []string{"contract", "publish", newer, "--why", "w"}, 0, []string{"*\t1"}},
+		{"publish an older table", []string{"contract", "publish", older, "--why", "w"}, factory.ExitUsage, nil},
+		{"show the table", []string{"contract", "show", "*"}, 0, []string{"table: 7", "prefix: /a/"}},
 		{"log", []string{"contract", "log", "mohor"}, 0, []string{"mohor@2", "mohor@1"}},
 		{"status", []string{"fleet", "status"}, 0, []string{"look at: entry-2", "mohor", "126", "across regions 15", "control-1"}},
 		{"backends", []string{"backend", "list"}, 0, []string{"mohor/10.0.0.7:80\tkol-a\t6\tserving\tejected"}},
