Spread the asks of a large service over its keepers

Change: a group is drawn by its slots among those whose cost differs by no more than the error of what keepers tell.

--- a/internal/lease/choice.go
+++ b/internal/lease/choice.go
@@ -66,28 +66,59 @@
 	return max(0, float64(wait-(now-s.at.Load())))
 }
 
-// choose returns the group where the demand is expected to start first, or nil.
+// choose returns a group where the demand is expected to start soonest, or nil.
 func (p *Pool) choose(demand *mustardramp.Demand, skip map[GroupID]bool) *group {
 	now := p.clock.Now()
 	at := now.UnixNano()
-	var best *group
-	least := math.Inf(1)
-	for _, g := range p.plan.Load().groups {
+	groups := p.plan.Load().groups
+	cost := func(g *group) float64 {
 		if skip[g.id] || !g.fits(demand) {
-			continue
+			return math.Inf(1)
 		}
 		d := p.config.Pool.Place.To(g.place)
-		cost := p.expected(g.id, demand.Rank, at)*reluctance[d] + detourOf(d, demand.Size)
-		if cost < least {
-			best, least = g, cost
-		}
+		return p.expected(g.id, demand.Rank, at)*reluctance[d] + detourOf(d, demand.Size)
 	}
-	if best != nil && !p.mayCross(best, demand, now) {
+	least := math.Inf(1)
+	for _, g := range groups {
+		least = min(least, cost(g))
+	}
+	if math.IsInf(least, 1) {
+		return nil
+	}
+	best := p.draw(groups, func(g *group) bool { return cost(g) <= least+float64(leastError) })
+	if !p.mayCross(best, demand, now) {
 		return p.chooseNear(demand, skip)
 	}
 	return best
 }
 
+// draw picks one of the groups that are good, by the number of their slots. It
+// answers the load of a large service: most waits are told as none, and the
+// keeper that every host names first would have all the asks.
+func (p *Pool) draw(groups []*group, good func(*group) bool) *group {
+	total := 0
+	for _, g := range groups {
+		if good(g) {
+			total += g.weight()
+		}
+	}
+	roll := int(mix(p.config.Pool.Seed+p.rolls.Add(1)) % uint64(total))
+	for _, g := range groups {
+		if !good(g) {
+			continue
+		}
+		if roll -= g.weight(); roll < 0 {
+			return g
+		}
+	}
+	return nil
+}
+
+// weight is at least 1, so that a group on trial alone can be drawn.
+func (g *group) weight() int {
+	return max(1, int(g.slots))
+}
+
 // chooseNear chooses among the groups of this host's region.
 func (p *Pool) chooseNear(demand *mustardramp.Demand, skip map[GroupID]bool) *group {
 	near := map[GroupID]bool{}
--- /dev/null
+++ b/internal/lease/choice_test.go
@@ -0,0 +1,41 @@
+package lease
+
+import (
+	"math"
+	"testing"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/pool"
+)
+
+// TestAsksSpreadOverKeepers replays the quiet load of a service that is too
+// large for one keeper: no keeper tells of a wait, and each gets the asks that
+// its slots are for.
+func TestAsksSpreadOverKeepers(t *testing.T) {
+	const (
+		backends = 66 // tildeling, grown, in one region
+		asks     = 6000
+		within   = 0.1
+	)
+	var standings []mustardramp.Standing
+	for i := range backends {
+		standings = append(standings, standing(i, kolA, 3))
+	}
+	p := New(Config{Pool: pool.Config{Terms: terms(), Place: kolA}})
+	p.Update(standings)
+	groups := p.plan.Load().groups
+	if len(groups) < 2 {
+		t.Fatalf("got %d groups, want several", len(groups))
+	}
+	got := map[GroupID]int{}
+	demand := bulk()
+	for range asks {
+		got[p.choose(&demand, nil).id]++
+	}
+	for _, g := range groups {
+		want := asks * float64(g.slots) / (3 * backends)
+		if math.Abs(float64(got[g.id])-want) > within*want {
+			t.Errorf("got %d asks at the keeper of part %d, want about %.0f", got[g.id], g.id.Part, want)
+		}
+	}
+}
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -39,6 +39,8 @@
 	plan   atomic.Pointer[plan]
 	ranks  atomic.Pointer[[mustardramp.RankCount]contract.RankTerms]
 	next   atomic.Uint64
+	// rolls counts the random choices among groups.
+	rolls atomic.Uint64
 	// waits holds what keepers said of their queues, by group.
 	waits sync.Map
 	// peers holds the state of each keeper, by host.
