--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -238,7 +238,7 @@
 		GotConn:        a.gotConn,
 		Got1xxResponse: a.informational,
 	}
-	if a.x.body.stream != nil {
+	if a.x.body.stream != nil || a.x.h.outbound != nil {
 		trace.WroteRequest = a.wroteRequest
 	}
 	return trace
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -56,7 +56,7 @@
 
 // upload reads a caller's body for one attempt.
 type upload struct {
-	source  io.ReadCloser
+	source  io.Reader
 	control *http.ResponseController
 	stall   time.Duration
 	used    atomic.Bool
@@ -95,7 +95,7 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	stream := &upload{source: x.r.Body, control: x.control(), stall: x.h.config.Stall}
+	stream := &upload{source: x.h.inbound.Reader(x.r.Context(), x.r.Body), control: x.control(), stall: x.h.config.Stall}
 	length := x.r.ContentLength
 	if x.key == "" && (length < 0 || length > ReplayLimit) {
 		x.streamBody(stream)
@@ -190,7 +190,7 @@
 		out.ContentLength = x.r.ContentLength
 		out.Trailer = x.r.Trailer
 	case len(x.body.held) > 0:
-		out.Body = io.NopCloser(bytes.NewReader(x.body.held))
+		out.Body = io.NopCloser(x.h.outbound.Reader(out.Context(), bytes.NewReader(x.body.held)))
 		out.ContentLength = int64(len(x.body.held))
 		if len(x.r.Trailer) > 0 {
 			// Trailers need a chunked body.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/pacing"
 	"github.com/mustardramp/mustardramp/internal/refusal"
 	"github.com/mustardramp/mustardramp/internal/retry"
 	"github.com/mustardramp/mustardramp/pkg/contract"
@@ -93,6 +94,9 @@
 	// Stall is the longest time without a byte in a body, either way, on either
 	// side; zero stands for DefaultStall.
 	Stall time.Duration
+	// LinkRate is the rate of the host's own link each way in bytes a second, or
+	// 0 for one that need not be minded.
+	LinkRate mustardramp.Bytes
 	// Memory bounds the bytes of request bodies held at one time; zero stands
 	// for DefaultMemory.
 	Memory mustardramp.Bytes
@@ -104,10 +108,13 @@
 type Handler struct {
 	config    Config
 	transport transport
-	buffers   sync.Pool
-	held      atomic.Int64
-	inFlight  atomic.Int64
-	spread    atomic.Uint64
+	// inbound and outbound pace the bodies of requests on the host's link; they
+	// are nil where the link need not be minded.
+	inbound, outbound *pacing.Link
+	buffers           sync.Pool
+	held              atomic.Int64
+	inFlight          atomic.Int64
+	spread            atomic.Uint64
 	// draining hosts close each connection with its answer; stopping ones take
 	// no new request.
 	draining atomic.Bool
@@ -145,7 +152,10 @@
 		config.Memory = DefaultMemory
 	}
 	config.Headers = config.Headers.orDefault()
-	h := &Handler{config: config, transport: newTransport(config.Dial)}
+	h := &Handler{
+		config: config, transport: newTransport(config.Dial),
+		inbound: pacing.NewLink(config.LinkRate), outbound: pacing.NewLink(config.LinkRate),
+	}
 	h.base, h.cut = context.WithCancelCause(context.Background())
 	for i := range h.bases {
 		h.bases[i].ctx, h.bases[i].end = context.WithCancel(h.base)
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -62,6 +62,7 @@
 		Refusals:     &e.refusals,
 		CallerHeader: config.CallerHeader,
 		Headers:      config.Headers,
+		LinkRate:     config.LinkRate,
 	})
 	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.secrets.traffic)
 	e.answerHosts()
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -38,6 +38,9 @@
 	CallerHeader  string
 	TLS           Files
 	RefusalBytes  mustardramp.Bytes
+	// LinkRate is the rate of the host's own link each way in bytes a second; 0
+	// means that it need not be minded.
+	LinkRate mustardramp.Bytes
 	// StopDelay is the time from the fall of readiness to the end of
 	// accepting.
 	StopDelay time.Duration
