One connection to each keeper, and a patient sign of life

Each host also held four connections to each keeper, and dialled them all in the first second.

Change: the time for a sign of life follows the usual one, up to 0.4 s; one connection carries all calls to a keeper, which answers 160 of them side by side.

Tests: TestSlowKeeperIsNotLost, TestWaitingAsksDelayNoReport.

--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -25,7 +25,7 @@
 func (e *Entry) assemble() {
 	config := &e.config
 	e.links.tls = e.secrets.linkClient
-	e.server.TLS = e.secrets.linkServer
+	e.server.TLS, e.server.Concurrency = e.secrets.linkServer, lease.Concurrency
 	e.refusals.Limit = config.RefusalBytes
 	e.tally.Clock = e.clock
 	e.services.holder = lease.Holder{Host: config.Name, Incarnation: e.incarnation}
--- a/internal/lease/keeper_test.go
+++ b/internal/lease/keeper_test.go
@@ -146,6 +146,39 @@
 	_ = group.Wait()
 }
 
+// TestSlowKeeperIsNotLost replays the load of a grown fleet: the keeper's link
+// is busy with uploads, and each answer takes 250 ms. The ask waits on.
+func TestSlowKeeperIsNotLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p pulse
+		ctx, end := context.WithCancelCause(t.Context())
+		var group errgroup.Group
+		group.Go(func() error {
+			p.watch(ctx, slowCaller(250*time.Millisecond), end)
+			return nil
+		})
+		time.Sleep(10 * time.Second)
+		if err := context.Cause(ctx); err != nil {
+			t.Errorf("got %v, want an ask that waits", err)
+		}
+		end(nil)
+		_ = group.Wait()
+	})
+}
+
+// slowCaller answers after a time.
+type slowCaller time.Duration
+
+// Invoke implements link.Caller.
+func (c slowCaller) Invoke(ctx context.Context, _ string, _ json.RawMessage) (json.RawMessage, error) {
+	select {
+	case <-time.After(time.Duration(c)):
+		return json.RawMessage(`"oA=="`), nil
+	case <-ctx.Done():
+		return nil, link.ErrLost.Wrap(ctx.Err())
+	}
+}
+
 // silentCaller never answers.
 type silentCaller struct{}
 
--- a/internal/lease/network.go
+++ b/internal/lease/network.go
@@ -55,16 +55,18 @@
 	})
 }
 
-// Network implements Peers by calls over links. Each rank has a connection of
-// its own to each host, and so have the reports: asks that wait for a slot
-// delay neither more valuable asks nor the reports that free slots.
+// Network implements Peers by calls over links. One connection to each host
+// carries all calls: each host of a fleet calls each keeper, and a connection
+// costs a small host more than many asks. Hosts answer Concurrency calls of one
+// connection side by side, so that asks that wait for a slot delay neither more
+// valuable asks nor the reports that free slots.
 type Network struct {
 	// Find returns the address of a host's links.
 	Find func(mustardramp.HostName) (netip.AddrPort, bool)
 	// New returns a client; nil stands for a plain one.
 	New func(netip.AddrPort) *link.Client
 
-	// clients holds the connections by host.
+	// clients holds the connections by host: each a *client.
 	clients sync.Map
 
 	mu     sync.Mutex
@@ -73,12 +75,14 @@
 
 var _ Peers = (*Network)(nil)
 
-// clients are the connections to one host.
-type clients struct {
-	address netip.AddrPort
-	ranks   [mustardramp.RankCount]*link.Client
-	reports *link.Client
-	pulse   pulse
+// Concurrency is the number of calls of one host that a keeper answers side by
+// side: the asks of all ranks that a host lets wait, and reports.
+const Concurrency = int(mustardramp.RankCount)*maxAsks + 16
+
+// client is the connection to one host.
+type client struct {
+	*link.Client
+	pulse pulse
 }
 
 // Ask implements Peers.
@@ -94,10 +98,10 @@
 	defer end(nil)
 	var watch errgroup.Group
 	watch.Go(func() error {
-		c.pulse.watch(ctx, c.reports, end)
+		c.pulse.watch(ctx, c, end)
 		return nil
 	})
-	grant, err := link.Call[Grant](ctx, c.ranks[ask.Rank], methodAsk, ask)
+	grant, err := link.Call[Grant](ctx, c, methodAsk, ask)
 	if err == nil {
 		c.pulse.heard()
 	}
@@ -112,7 +116,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = link.Call[struct{}](ctx, c.reports, methodReport, report)
+	ctx, cancel := context.WithTimeout(ctx, link.DefaultTimeout)
+	defer cancel()
+	_, err = link.Call[struct{}](ctx, c, methodReport, report)
 	return err
 }
 
@@ -122,7 +128,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = link.Call[struct{}](ctx, c.reports, methodBrief, briefing)
+	ctx, cancel := context.WithTimeout(ctx, link.DefaultTimeout)
+	defer cancel()
+	_, err = link.Call[struct{}](ctx, c, methodBrief, briefing)
 	return err
 }
 
@@ -135,7 +143,7 @@
 	n.clients.Range(func(host, c any) bool {
 		if !listed[host.(mustardramp.HostName)] {
 			n.clients.Delete(host)
-			_ = c.(*clients).close()
+			_ = c.(*client).Close()
 		}
 		return true
 	})
@@ -149,30 +157,21 @@
 	var group errs.Group
 	n.clients.Range(func(host, c any) bool {
 		n.clients.Delete(host)
-		group.Add(c.(*clients).close())
+		group.Add(c.(*client).Close())
 		return true
 	})
 	return group.Err()
 }
 
-func (c *clients) close() error {
-	var group errs.Group
-	for _, rank := range c.ranks {
-		group.Add(rank.Close())
-	}
-	group.Add(c.reports.Close())
-	return group.Err()
-}
-
-// reach returns the connections to a host. It takes a lock only for a host or
+// reach returns the connection to a host. It takes a lock only for a host or
 // an address that is new.
-func (n *Network) reach(host mustardramp.HostName) (*clients, error) {
+func (n *Network) reach(host mustardramp.HostName) (*client, error) {
 	address, ok := n.Find(host)
 	if !ok {
 		return nil, ErrPeer.New("no address of host %s is known", host)
 	}
-	if c, ok := n.clients.Load(host); ok && c.(*clients).address == address {
-		return c.(*clients), nil
+	if c, ok := n.clients.Load(host); ok && c.(*client).Address == address {
+		return c.(*client), nil
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -180,27 +179,24 @@
 		return nil, ErrPeer.New("the network is closed")
 	}
 	old, ok := n.clients.Load(host)
-	if ok && old.(*clients).address == address {
-		return old.(*clients), nil
+	if ok && old.(*client).Address == address {
+		return old.(*client), nil
 	}
 	if ok {
-		_ = old.(*clients).close()
+		_ = old.(*client).Close()
 	}
 	c := n.connect(address)
 	n.clients.Store(host, c)
 	return c, nil
 }
 
-func (n *Network) connect(address netip.AddrPort) *clients {
+func (n *Network) connect(address netip.AddrPort) *client {
 	create := n.New
 	if create == nil {
 		create = func(a netip.AddrPort) *link.Client { return &link.Client{Address: a} }
 	}
-	c := &clients{address: address, reports: create(address)}
-	for r := range c.ranks {
-		c.ranks[r] = create(address)
-		// The context of each ask bounds it.
-		c.ranks[r].Timeout = askTime
-	}
+	c := &client{Client: create(address)}
+	// The context of each call bounds it.
+	c.Timeout = askTime
 	return c
 }
--- a/internal/lease/pulse.go
+++ b/internal/lease/pulse.go
@@ -13,8 +13,17 @@
 	// before the keeper is asked whether it is there: several times the way to
 	// the other region and back.
 	pulsePause = 80 * time.Millisecond
-	// pulseTime is how long the keeper has to say so.
-	pulseTime = 120 * time.Millisecond
+	// leastPulse and mostPulse bound how long the keeper has to say so: several
+	// times the way to the other region and back where it is quick, and a third
+	// of the shortest target of the deployments where its processor or its link
+	// is busy. A host whose keeper answers late must not take it for lost: it
+	// would then send work by itself, beyond the slots that the keeper counts.
+	leastPulse = 120 * time.Millisecond
+	mostPulse  = 400 * time.Millisecond
+	// pulseFactor is the multiple of the usual time of an answer, and
+	// pulseSmoothing the weight of a new one in the mean.
+	pulseFactor    = 4
+	pulseSmoothing = 0.2
 )
 
 // pulse tells a keeper in whose queue asks wait from one that was killed, frozen
@@ -26,6 +35,8 @@
 	asking bool
 	// missed counts the questions without an answer.
 	missed uint64
+	// usual is the moving mean time of an answer, or 0 before the first.
+	usual time.Duration
 }
 
 // heard notes a word of the keeper.
@@ -46,15 +57,42 @@
 	return true
 }
 
-func (p *pulse) asked(err error) {
+// asked takes in how a question ended and how long that took. One that was
+// given up with its ask shows nothing.
+func (p *pulse) asked(givenUp bool, err error, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asking = false
-	if err != nil {
+	switch {
+	case givenUp:
+	case err != nil:
+		p.learn(took)
 		p.missed++
+	default:
+		p.learn(took)
+		p.last = time.Now()
+	}
+}
+
+// learn moves the usual time. A question without an answer counts with the time
+// that it was given, so that a keeper that has become slow is soon given more.
+func (p *pulse) learn(took time.Duration) {
+	if p.usual == 0 {
+		p.usual = took
 		return
 	}
-	p.last = time.Now()
+	p.usual += time.Duration(pulseSmoothing * float64(took-p.usual))
+}
+
+// limit returns how long the keeper has for an answer.
+func (p *pulse) limit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.usual == 0 {
+		// The first question makes the connection too.
+		return mostPulse
+	}
+	return max(leastPulse, min(pulseFactor*p.usual, mostPulse))
 }
 
 func (p *pulse) misses() uint64 {
@@ -76,7 +114,9 @@
 		case <-ticker.C:
 		}
 		if p.due() {
-			p.asked(ask(ctx, keeper))
+			began := time.Now()
+			err := ask(ctx, keeper, p.limit())
+			p.asked(ctx.Err() != nil, err, time.Since(began))
 		}
 		if p.misses() > before && ctx.Err() == nil {
 			end(errDown)
@@ -85,14 +125,10 @@
 	}
 }
 
-// ask asks the keeper whether it is there. A question that was given up with
-// its ask shows nothing.
-func ask(ctx context.Context, keeper link.Caller) error {
-	bounded, cancel := context.WithTimeout(ctx, pulseTime)
+// ask asks the keeper whether it is there.
+func ask(ctx context.Context, keeper link.Caller, limit time.Duration) error {
+	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	_, err := link.Call[struct{}](bounded, keeper, methodAlive, struct{}{})
-	if ctx.Err() != nil {
-		return nil
-	}
 	return err
 }
