Draw the parts of a region by rendezvous hashing

Cause: a part was a hash modulo the number of parts, so that one part more moved most backends of the region to keepers that know nothing of them.

Test: TestScaleOutMovesFewBackends (90 backends, a fourth part: before, about 3 in 4 moved).

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -326,6 +326,28 @@
 	}
 }
 
+// TestScaleOutMovesFewBackends adds backends to a service until its region has
+// one more part: a backend that was there keeps its keeper or moves to the new
+// part, and no more move than the new part holds.
+func TestScaleOutMovesFewBackends(t *testing.T) {
+	const before, after, parts = 90, 100, 3
+	moved := 0
+	for i := range before {
+		id := standing(i, kolA, 3).Backend.ID
+		was, is := partOf(id, parts), partOf(id, parts+1)
+		if was == is {
+			continue
+		}
+		moved++
+		if is != parts {
+			t.Errorf("got %s moved from part %d to %d, want it to stay or move to part %d", id, was, is, parts)
+		}
+	}
+	if most := 2 * after / (parts + 1); moved > most {
+		t.Errorf("got %d of %d backends moved, want at most %d", moved, before, most)
+	}
+}
+
 func TestPlanFollowsHostsAndBackends(t *testing.T) {
 	p := New(Config{Pool: pool.Config{Terms: terms(), Place: kolA}, Holder: Holder{Host: "host-0"}})
 	keepers := func() int { return len(p.plan.Load().byID[GroupID{Region: kolA.Region}].keepers) }
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -54,7 +54,7 @@
 		s := &standings[i]
 		region := standings[i].Backend.Place.Region
 		parts := (sizes[region] + groupSize - 1) / groupSize
-		id := GroupID{Region: region, Part: int(xxhash.Sum64String(string(s.Backend.ID)) % uint64(parts))}
+		id := GroupID{Region: region, Part: partOf(s.Backend.ID, parts)}
 		p.group(id, mustardramp.Place{Region: region}).add(s)
 	}
 	for _, g := range p.groups {
@@ -66,6 +66,20 @@
 	return p
 }
 
+// partOf draws the part of a region that a backend belongs to by rendezvous
+// hashing: when backends join and a part is added, only those that move to it
+// change their keeper, which knows nothing of them yet.
+func partOf(id mustardramp.BackendID, parts int) int {
+	hash := xxhash.Sum64String(string(id))
+	best, most := 0, uint64(0)
+	for part := range parts {
+		if score := mix(hash ^ mix(uint64(part))); part == 0 || score > most {
+			best, most = part, score
+		}
+	}
+	return best
+}
+
 // find returns the group of the same backends' place, or nil.
 func (p *plan) find(g *group) *group {
 	if p == nil {
