--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -113,6 +113,7 @@
 	defer c.mu.Unlock()
 	v := build(c.view.Load(), c.distance, &c.usual, standings)
 	v.each(func(m *member) { m.kept = c.flat })
+	v.findNewcomers(c.view.Load(), c.rolls.Load() > 0)
 	c.view.Store(v)
 	c.dispatch(now)
 }
@@ -394,6 +395,9 @@
 	if m := tryTrial(v, demand, at, roll); m != nil {
 		return placed{member: m}
 	}
+	if m := c.newcomer(now, v, demand); m != nil && m.enter() {
+		return placed{member: m}
+	}
 	if m := c.neglected(now, v, demand); m != nil && m.enter() {
 		return placed{member: m, check: true}
 	}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -15,6 +15,8 @@
 type view struct {
 	tiers  [distances][]*member
 	trials []*member
+	// newcomers are members of the tiers that await their first attempt.
+	newcomers []*member
 	// idle are the known backends that get no work now. Their loads are kept,
 	// since attempts may still be in flight.
 	idle []*member
