Control hosts send changes to entry hosts themselves

Change: a control host holds a link for changes alone to each entry host that no other control host is nearer to, at most 64, and sends changes at once and in full. Such a link judges no host. The other links stay as they were.

--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -90,7 +90,7 @@
 	l.busy, l.failures = false, 0
 	l.soon, l.at = now.Add(batchPause), now.Add(n.budget.pause(now))
 	l.calm = later(l.at, now.Add(summaryPause))
-	l.idle = now.Add(n.jitter(heartbeat))
+	l.idle = now.Add(n.jitter(l.heartbeat()))
 	for i, stub := range r.Have {
 		if i < len(resp.Replies) {
 			n.settle(now, l, stub, resp.Replies[i])
@@ -103,6 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.peer.Only {
+		return news, nil
+	}
 	n.compare(now, l, r, resp)
 	l.fresh = false
 	if l.fetch == nil {
@@ -180,16 +183,23 @@
 	l.busy = false
 	l.failures++
 	n.release(l)
-	l.at, l.idle = now.Add(n.jitter(retryPause)), now.Add(heartbeat)
+	l.at, l.idle = now.Add(n.jitter(retryPause)), now.Add(l.heartbeat())
 	l.soon, l.calm = l.at, l.at
 	if l.failures >= failuresToClear {
 		l.out.clear()
-		l.fresh = true
+		l.fresh = !l.peer.Only
 		return
 	}
 	for _, at := range r.sent {
-		l.out.put(at, outItem{due: now})
+		l.out.put(at, outItem{due: now, wanted: l.peer.Fed && at.kind == mustardramp.RecordChange})
+	}
+}
+
+func (l *peerLink) heartbeat() time.Duration {
+	if l.peer.Only {
+		return feedHeartbeat
 	}
+	return heartbeat
 }
 
 // jitter returns a random time between three quarters of d and d.
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -52,6 +52,11 @@
 // Failed takes in that a request had no response.
 func (c *Core) Failed(now time.Time, s Send) []mustardramp.Record {
 	c.Node.Failed(now, s.To.Name, s.Request)
+	if s.To.Only {
+		// A host that control hosts cannot reach may be well: its other links
+		// judge it.
+		return nil
+	}
 	return c.Offer(now, c.Members.Missed(now, s.To.Name)...)
 }
 
@@ -81,10 +86,26 @@
 	if len(peers) == 0 {
 		peers = c.seedPeers()
 	}
+	peers = c.feed(now, peers)
 	c.Node.SetLinks(now, peers)
 	return peers
 }
 
+// feed marks the peers to which this host sends changes at once, and adds those
+// that it has no other link to. It answers changes in quick succession on busy
+// links: passed on from host to host, each would wait on every link of its way.
+func (c *Core) feed(now time.Time, peers []Peer) []Peer {
+	for _, h := range c.Members.Fed(now) {
+		i := slices.IndexFunc(peers, func(p Peer) bool { return p.Name == h.Name })
+		if i < 0 {
+			peers = append(peers, Peer{Name: h.Name, Address: h.Address, Place: h.Place, Only: true})
+			i = len(peers) - 1
+		}
+		peers[i].Fed = true
+	}
+	return peers
+}
+
 // union returns the hosts of both lists, each once.
 func union(a, b []membership.Host) []membership.Host {
 	out := slices.Clone(a)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -216,7 +216,7 @@
 // setClients opens and closes links so that there is one to each peer.
 func (e *Exchange) setClients(peers []Peer) {
 	for name, l := range e.links {
-		if !slices.Contains(peers, l.peer) {
+		if !slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name && p.Address == l.peer.Address }) {
 			e.closeLink(name, l)
 		}
 	}
--- a/internal/exchange/mesh_test.go
+++ b/internal/exchange/mesh_test.go
@@ -30,6 +30,11 @@
 	oneSeed bool
 	// loss is the probability that one message is lost.
 	loss float64
+	// oneWay is the delay of a message.
+	oneWay time.Duration
+	// controls is the number of the hosts that are control hosts, the first
+	// ones.
+	controls int
 	// cut holds the directions over which nothing passes.
 	cut map[[2]mustardramp.HostName]bool
 	// down holds the hosts that are lost.
@@ -60,7 +65,10 @@
 	return last
 }
 
-// oneWay is the delay of a message.
+// controlRate is the rate of control hosts.
+const controlRate mustardramp.Bytes = 64 << 10
+
+// oneWay is the delay of a message where links are idle.
 const oneWay = 3 * time.Millisecond
 
 func name(i int) mustardramp.HostName {
@@ -84,7 +92,13 @@
 // newMesh starts hosts in four zones, which join by their seeds, and lets them
 // find each other. They are ready, as after a quorum read.
 func newMesh(t testing.TB, seed uint64, count int) *mesh {
+	return newControlledMesh(t, seed, count, 0)
+}
+
+// newControlledMesh is newMesh where some of the hosts are control hosts.
+func newControlledMesh(t testing.TB, seed uint64, count, controls int) *mesh {
 	m := &mesh{
+		oneWay: oneWay, controls: controls,
 		t: t, now: start, random: rand.New(rand.NewPCG(seed, 7)),
 		nodes: map[mustardramp.HostName]*Core{}, polls: map[mustardramp.HostName]time.Time{},
 		addresses: map[netip.AddrPort]mustardramp.HostName{},
@@ -107,6 +121,10 @@
 		Name: name(i), Place: zones[i%len(zones)], Address: address(i),
 		Incarnation: mustardramp.Incarnation(seed*1_000_000 + uint64(m.count)),
 	}
+	rate := mustardramp.Bytes(0)
+	if i < m.controls {
+		self.Role, rate = membership.Control, controlRate
+	}
 	var seeds []netip.AddrPort
 	for s := range seedCount {
 		seeds = append(seeds, address(s))
@@ -114,7 +132,7 @@
 	if m.oneSeed {
 		seeds = seeds[:1]
 	}
-	c := NewCore(m.now, self, seeds, 0)
+	c := NewCore(m.now, self, seeds, rate)
 	m.nodes[self.Name] = c
 	delete(m.down, self.Name)
 	m.wake(self.Name)
@@ -187,7 +205,7 @@
 		fail()
 		return
 	}
-	m.after(oneWay, func() {
+	m.after(m.oneWay, func() {
 		resp, news, err := m.nodes[to].Answer(m.now, s.Request)
 		if err != nil {
 			m.t.Fatal(err)
@@ -197,7 +215,7 @@
 			fail()
 			return
 		}
-		m.after(oneWay, func() { m.done(n, from, s, resp) })
+		m.after(m.oneWay, func() { m.done(n, from, s, resp) })
 	})
 }
 
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -12,6 +12,9 @@
 const (
 	// heartbeat is the pause after which an idle link is used.
 	heartbeat = time.Second
+	// feedHeartbeat is that of a link that carries changes only: it keeps the
+	// connection known to be good, and no host is judged by it.
+	feedHeartbeat = 10 * time.Second
 	// recheck is the pause after which digests that differed are compared.
 	recheck = 250 * time.Millisecond
 	// batchPause is the least time between two requests over a link, so that
@@ -55,6 +58,10 @@
 	// Control is set for control hosts, Bridge for those of other regions.
 	Control bool
 	Bridge  bool
+	// Fed is set for a host to which changes are sent at once and in full.
+	Fed bool
+	// Only is set for a fed host that no other records are exchanged with.
+	Only bool
 }
 
 // Send is a request to be made to a peer. Each ends with Done or Failed.
@@ -129,11 +136,12 @@
 	keep := make(map[mustardramp.HostName]bool, len(peers))
 	for _, p := range peers {
 		keep[p.Name] = true
-		if l, ok := n.links[p.Name]; ok && l.peer == p {
+		if l, ok := n.links[p.Name]; ok && l.peer.Address == p.Address {
+			l.become(now, p)
 			continue
 		}
 		n.release(n.links[p.Name])
-		n.links[p.Name] = &peerLink{peer: p, at: now, idle: now, fresh: true}
+		n.links[p.Name] = newPeerLink(now, p)
 	}
 	n.order = n.order[:0]
 	for name := range n.links {
@@ -147,6 +155,23 @@
 	slices.Sort(n.order)
 }
 
+// become takes over what the link is for. What it has still to send stays.
+func (l *peerLink) become(now time.Time, p Peer) {
+	if l.peer.Only && !p.Only {
+		l.idle, l.fresh = now, true
+	}
+	l.peer = p
+}
+
+func newPeerLink(now time.Time, p Peer) *peerLink {
+	l := &peerLink{peer: p, at: now, idle: now, fresh: true}
+	if p.Only {
+		// It has nothing to compare.
+		l.idle, l.fresh = now.Add(feedHeartbeat), false
+	}
+	return l
+}
+
 // Offer merges records made at this host. It returns those that are news.
 func (n *Node) Offer(now time.Time, records ...mustardramp.Record) []mustardramp.Record {
 	return n.merge(now, "", records)
@@ -194,7 +219,11 @@
 	}
 	picked := 0
 	for _, l := range n.shuffled() {
-		if l.peer.Name != from {
+		switch {
+		case l.peer.Name == from:
+		case l.peer.Fed && at.kind == mustardramp.RecordChange:
+			l.out.put(at, outItem{due: now, wanted: true})
+		case !l.peer.Only:
 			l.out.put(at, outItem{due: now.Add(time.Duration(picked) * pause)})
 			picked++
 		}
@@ -206,7 +235,7 @@
 func (n *Node) spreadSummary(from mustardramp.HostName, at ref) {
 	picked := 0
 	for _, i := range n.random.Perm(len(n.order)) {
-		if name := n.order[i]; name != from && picked < summaryLinks {
+		if name := n.order[i]; name != from && picked < summaryLinks && !n.links[name].peer.Only {
 			n.links[name].out.put(at, outItem{})
 			picked++
 		}
@@ -300,7 +329,7 @@
 func (n *Node) request(now time.Time, l *peerLink) *Request {
 	r := &Request{From: n.name, Ready: n.ready.is, Sums: n.Sums(), Fetch: l.fetch}
 	heartbeatDue := !l.idle.After(now)
-	r.Compare = n.fetcher == nil && heartbeatDue && l.suspicious()
+	r.Compare = n.fetcher == nil && heartbeatDue && l.suspicious() && !l.peer.Only
 	if r.Compare {
 		n.fetcher = l
 	}
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -65,6 +65,11 @@
 	surfaces []*surface
 }
 
+// controlRate bounds the bytes a second that a control host sends to the fleet:
+// a table of 2 KiB on the wire to each of 64 hosts, at the one change in four
+// seconds of docs/CAPACITY.md, and as much again.
+const controlRate mustardramp.Bytes = 64 << 10
+
 // NewControl opens the host's listeners.
 func NewControl(config ControlConfig) (*Control, error) {
 	c := &Control{
@@ -116,6 +121,7 @@
 		Self:  c.config.self(membership.Control, c.Link(), c.Admin(), c.incarnation),
 		Seeds: c.config.seeds(),
 		TLS:   c.secrets.linkClient,
+		Rate:  controlRate,
 		Log:   log,
 		Clock: c.config.Clock,
 	})
