Keep slots in use while grants and returns are under way

Change: a keeper measures how much longer leases last than their work and goes beyond the slots by as much, at most twice; backends queue what comes too soon.

--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -76,6 +76,8 @@
 	queued atomic.Int64
 	// usual is the moving mean latency of good answers in nanoseconds.
 	usual atomic.Int64
+	// transit is what the ways to and from the hosts add to a lease.
+	transit transit
 	// costs are the moving mean slot times by rank in nanoseconds.
 	costs [mustardramp.RankCount]atomic.Int64
 
@@ -112,7 +114,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := build(c.view.Load(), c.distance, &c.usual, standings)
-	v.each(func(m *member) { m.kept = c.flat })
+	if c.flat {
+		v.each(func(m *member) { m.transit = &c.transit })
+	}
 	v.findNewcomers(c.view.Load(), c.rolls.Load() > 0)
 	c.view.Store(v)
 	c.dispatch(now)
@@ -150,6 +154,7 @@
 	}
 	if result == mustardramp.ResultGood {
 		learn(&c.costs[lease.rank], now.Sub(lease.granted))
+		c.transit.observe(now.Sub(lease.granted), latency)
 	}
 	if c.queued.Load() == 0 {
 		return
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -60,17 +60,21 @@
 	// ceiling is the number of slots that this host may use; at least 1.
 	ceiling int32
 	trial   bool
-	// kept is true when this host grants all of the backend's slots.
-	kept bool
+	// transit is set when this host grants all of the backend's slots.
+	transit *transit
 	// usual is the mean latency of good answers of the service.
 	usual *atomic.Int64
 }
 
-// cap returns how many attempts may be in flight: at least 1, at most the
-// ceiling.
+// cap returns how many attempts may be in flight: at least 1, and at most the
+// ceiling, or what keeps the ceiling in use where leases are under way for long.
 func (m *member) cap() int32 {
 	limit := int32(math.Float64frombits(m.limit.Load()))
-	return max(1, min(limit, m.ceiling))
+	slots := max(1, min(limit, m.ceiling))
+	if m.transit == nil || m.trial {
+		return slots
+	}
+	return int32(float64(slots) * m.transit.stretch())
 }
 
 // open reports whether the member takes work at all at a time.
@@ -116,7 +120,7 @@
 	n := m.inFlight.Add(-1) + 1
 	switch result {
 	case mustardramp.ResultShed:
-		if !m.kept {
+		if m.transit == nil {
 			// A keeper knows all that the backend has in flight: a shed within
 			// its slots is no sign of load.
 			m.shrink(n)
