Write log lines to standard output through a bounded queue

Cause: logs went to standard error, each line by a write of its own, and a reader that stops would have stopped requests.

--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -56,7 +56,7 @@
 		p.t.Fatal(err)
 	}
 	p.cmd = exec.Command(path, p.args...)
-	p.cmd.Stderr = &p.log
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/pkg/cmd/control/serve/serve.go
+++ b/pkg/cmd/control/serve/serve.go
@@ -40,11 +40,13 @@
 	if err != nil {
 		return &factory.Problem{Code: factory.ExitUsage, Reason: err.Error(), Remedy: "mend the settings and start again"}
 	}
-	control, err := host.NewControl(config)
-	if err != nil {
-		return err
-	}
-	return control.Run(ctx)
+	return factory.WithLogs(func() error {
+		control, err := host.NewControl(config)
+		if err != nil {
+			return err
+		}
+		return control.Run(ctx)
+	})
 }
 
 func (o *Options) config() (host.ControlConfig, error) {
--- a/pkg/cmd/entry/serve/serve.go
+++ b/pkg/cmd/entry/serve/serve.go
@@ -47,11 +47,13 @@
 	if err != nil {
 		return &factory.Problem{Code: factory.ExitUsage, Reason: err.Error(), Remedy: "mend the settings and start again"}
 	}
-	entry, err := host.NewEntry(config)
-	if err != nil {
-		return err
-	}
-	return entry.Run(ctx, o.factory.CutContext())
+	return factory.WithLogs(func() error {
+		entry, err := host.NewEntry(config)
+		if err != nil {
+			return err
+		}
+		return entry.Run(ctx, o.factory.CutContext())
+	})
 }
 
 func (o *Options) config() (host.EntryConfig, error) {
--- a/pkg/cmd/platform/platform.go
+++ b/pkg/cmd/platform/platform.go
@@ -26,7 +26,9 @@
 
 // Run serves until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
-	return explain(platform.RunEntry(ctx, e.factory.CutContext()))
+	return explain(factory.WithLogs(func() error {
+		return platform.RunEntry(ctx, e.factory.CutContext())
+	}))
 }
 
 // Control runs a control host.
@@ -39,7 +41,9 @@
 
 // Run serves until the context ends.
 func (*Control) Run(ctx context.Context) error {
-	return explain(platform.RunControl(ctx))
+	return explain(factory.WithLogs(func() error {
+		return platform.RunControl(ctx)
+	}))
 }
 
 func explain(err error) error {
