Do not take hosts on busy links for lost

Change: a call between hosts has 1 s, and a host is doubted after 2 s; a change of standing, and a budget that runs short, have a line in the log.

--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -12,6 +12,10 @@
 	"github.com/mustardramp/mustardramp/internal/membership"
 )
 
+// stateTime bounds one question for the present state: a started host then asks
+// another control host.
+const stateTime = 500 * time.Millisecond
+
 // askPause is the pause between two questions of a started host for the present
 // state: it refuses all requests until it knows it.
 const askPause = 150 * time.Millisecond
@@ -90,7 +94,7 @@
 }
 
 func (e *Exchange) confirmFrom(ctx context.Context, control netip.AddrPort) {
-	client := &link.Client{Address: control, TLS: e.options.TLS, Timeout: callTime}
+	client := &link.Client{Address: control, TLS: e.options.TLS, Timeout: stateTime}
 	defer func() { _ = client.Close() }()
 	reply, err := link.Call[confirmedState](ctx, client, methodState, e.State())
 	if err != nil {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// callTime bounds one call to a peer.
-	callTime = 500 * time.Millisecond
+	// callTime bounds one call to a peer. It is above the time that packets wait
+	// on a link that is choked by uploads, of which half a second is usual on the
+	// grown deployments.
+	callTime = time.Second
 	// stepPause is the pause between two judgements of the membership.
 	stepPause = 250 * time.Millisecond
 	// confirmPause is the pause between two quorum reads.
@@ -58,6 +60,8 @@
 	links map[mustardramp.HostName]*peerClient
 	// closed counts the bytes of links that are no longer held.
 	closed map[mustardramp.Distance]Usage
+	// short is true while the budget holds catch-ups back.
+	short bool
 
 	watchers watchers
 }
@@ -211,6 +215,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.setClients(e.core.Step(now))
+	for _, m := range e.core.Members.Turned() {
+		klog.InfoS("host-standing", "host", m.Host.Name, "standing", m.Standing.String(), "incarnation", m.Host.Incarnation)
+	}
+	if isShort := e.core.Node.IsShort(now); isShort != e.short {
+		e.short = isShort
+		klog.InfoS("exchange-budget", "short", isShort, "spent", e.core.Node.Spent())
+	}
 }
 
 // setClients opens and closes links so that there is one to each peer.
--- a/internal/exchange/fleet_test.go
+++ b/internal/exchange/fleet_test.go
@@ -135,6 +135,21 @@
 }
 
 // A host that a few others cannot reach is not lost while the rest reaches it.
+// TestBusyLinksLoseNoHost replays uploads that fill the links of a grown fleet:
+// an answer takes 0.7 s. No host may be taken for lost.
+func TestBusyLinksLoseNoHost(t *testing.T) {
+	m := newMesh(t, 1, 60)
+	m.oneWay = 350 * time.Millisecond
+	m.run(20 * time.Second)
+	for _, host := range m.names {
+		for _, other := range m.nodes[host].Members.List() {
+			if other.Standing == membership.Lost {
+				t.Errorf("got %s lost as seen from %s, want it alive", other.Host.Name, host)
+			}
+		}
+	}
+}
+
 func TestBadPathsDoNotLoseAHost(t *testing.T) {
 	for seed := range uint64(*seeds) {
 		m := newMesh(t, seed, 40)
--- a/internal/exchange/mesh_test.go
+++ b/internal/exchange/mesh_test.go
@@ -215,6 +215,11 @@
 			fail()
 			return
 		}
+		if 2*m.oneWay >= callTime {
+			// The answer comes after the call has ended.
+			fail()
+			return
+		}
 		m.after(m.oneWay, func() { m.done(n, from, s, resp) })
 	})
 }
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -470,6 +470,12 @@
 	return n.store.list(kind)
 }
 
+// IsShort reports whether too little of the budget is left for the pages of a
+// catch-up.
+func (n *Node) IsShort(now time.Time) bool {
+	return n.budget.pageBytes(now) < leastPage
+}
+
 // Spent returns the bytes that the budget has been charged with.
 func (n *Node) Spent() mustardramp.Bytes {
 	return n.budget.spent
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// suspectAfter is the time without an echo after which a host is doubted.
-	suspectAfter = time.Second
+	// suspectAfter is the time without an echo after which a host is doubted: two
+	// calls that ran out of time. On a thin link that uploads fill an answer takes
+	// most of a second, and a host that is taken for lost loses its keepers' work.
+	suspectAfter = 2 * time.Second
 	// confirmations is the number of observers that must doubt a host before
 	// it counts as lost.
 	confirmations = 2
@@ -70,6 +72,8 @@
 	chosen   []Host
 	chosenAt time.Time
 	changed  bool
+	// turned are the hosts whose standing changed since Turned was called.
+	turned []Member
 }
 
 type member struct {
@@ -144,7 +148,7 @@
 	e.Host = h
 	m.changed = true
 	e.doubted, e.silent = time.Time{}, time.Time{}
-	e.judge(now)
+	m.judge(now, e)
 	return nil
 }
 
@@ -171,7 +175,7 @@
 	} else {
 		e.doubts[d.Observer] = d.About
 	}
-	m.changed = e.judge(now) || m.changed
+	m.judge(now, e)
 	if e.Standing == Suspect && m.verifies(e) {
 		m.probes[d.Host] = true
 		m.changed = true
@@ -224,6 +228,15 @@
 	return true
 }
 
+// judge brings a host's standing up to date and notes a change of it.
+func (m *Members) judge(now time.Time, e *member) {
+	if !e.judge(now) {
+		return
+	}
+	m.changed = true
+	m.turned = append(m.turned, e.Member)
+}
+
 // Heard takes in an echo from a host: a call to it was answered. A link counts
 // only by its echo; calls that arrive here prove nothing of the way back.
 func (m *Members) Heard(now time.Time, host mustardramp.HostName) []mustardramp.Record {
@@ -276,7 +289,7 @@
 func (m *Members) Step(now time.Time) []string {
 	var gone []string
 	for name, e := range m.members {
-		m.changed = e.judge(now) || m.changed
+		m.judge(now, e)
 		if e.Standing != Suspect {
 			delete(m.probes, name)
 		}
@@ -292,6 +305,13 @@
 	return gone
 }
 
+// Turned returns the hosts whose standing has changed since the last call.
+func (m *Members) Turned() []Member {
+	turned := m.turned
+	m.turned = nil
+	return turned
+}
+
 // List returns all hosts but this one, by name.
 func (m *Members) List() []Member {
 	out := make([]Member, 0, len(m.members))
