--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -87,7 +87,7 @@
 	if l == nil {
 		return nil, nil
 	}
-	l.busy, l.failures = false, 0
+	l.calls, l.failures = max(0, l.calls-1), 0
 	l.soon, l.at = now.Add(batchPause), now.Add(n.budget.pause(now))
 	l.calm = later(l.at, now.Add(summaryPause))
 	l.idle = now.Add(n.jitter(l.heartbeat()))
@@ -180,7 +180,7 @@
 	if l == nil {
 		return
 	}
-	l.busy = false
+	l.calls = max(0, l.calls-1)
 	l.failures++
 	n.release(l)
 	l.at, l.idle = now.Add(n.jitter(retryPause)), now.Add(l.heartbeat())
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -21,6 +21,9 @@
 	// on a link that is choked by uploads, of which half a second is usual on the
 	// grown deployments.
 	callTime = time.Second
+	// feedTime bounds a call that carries a change to a fed host. A connection
+	// that is given up loses what waits on it, and a new one takes longer.
+	feedTime = 2500 * time.Millisecond
 	// stepPause is the pause between two judgements of the membership.
 	stepPause = 250 * time.Millisecond
 	// confirmPause is the pause between two quorum reads.
@@ -234,6 +237,9 @@
 	for _, p := range peers {
 		if e.links[p.Name] == nil {
 			client := &link.Client{Address: p.Address, TLS: e.options.TLS, Timeout: callTime}
+			if p.Only {
+				client.Timeout = feedTime
+			}
 			e.links[p.Name] = &peerClient{p, client}
 		}
 	}
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -41,3 +41,18 @@
 		t.Errorf("got %d of %d changes late by host, want none within %v", late, changes*hosts, bound)
 	}
 }
+
+// TestChangeDoesNotWaitForAnOlderOne offers changes in a row while the first is
+// still under way to a fed host on a busy link: each must leave at once.
+func TestChangeDoesNotWaitForAnOlderOne(t *testing.T) {
+	n := NewNode("control", 1, controlRate)
+	n.SetLinks(start, []Peer{{Name: "entry", Address: address(1), Fed: true, Only: true}})
+	for i := range uint64(4) {
+		now := start.Add(time.Duration(i) * batchPause)
+		n.Offer(now, change("*", i+1, 3000))
+		sends, _ := n.Poll(now)
+		if len(sends) != 1 || len(sends[0].Request.News) == 0 {
+			t.Errorf("got %d requests for change %d, want one that carries it", len(sends), i+1)
+		}
+	}
+}
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -15,6 +15,10 @@
 	// feedHeartbeat is that of a link that carries changes only: it keeps the
 	// connection known to be good, and no host is judged by it.
 	feedHeartbeat = 10 * time.Second
+	// feedCalls is the number of changes that may be under way to one fed host: on
+	// the grown deployments changes come every quarter of a second, and an answer
+	// takes up to a second.
+	feedCalls = 4
 	// recheck is the pause after which digests that differed are compared.
 	recheck = 250 * time.Millisecond
 	// batchPause is the least time between two requests over a link, so that
@@ -100,8 +104,9 @@
 type peerLink struct {
 	peer Peer
 	out  outbox
-	// busy is set while a request is under way: there is one at a time.
-	busy bool
+	// calls is the number of requests under way: at most one, and at most
+	// feedCalls where the link carries changes only.
+	calls int
 	// soon is when the next request may be made for changes, at when it may be
 	// made for statements, calm when it may be made for summaries, idle when it
 	// must be made.
@@ -163,6 +168,15 @@
 	l.peer = p
 }
 
+// mostCalls is the number of requests that may be under way. A change does not
+// wait for the answer to an older one on a busy link.
+func (l *peerLink) mostCalls() int {
+	if l.peer.Only {
+		return feedCalls
+	}
+	return 1
+}
+
 func newPeerLink(now time.Time, p Peer) *peerLink {
 	l := &peerLink{peer: p, at: now, idle: now, fresh: true}
 	if p.Only {
@@ -280,7 +294,7 @@
 	next := now.Add(heartbeat)
 	for _, name := range n.order {
 		l := n.links[name]
-		if l.busy {
+		if l.calls >= l.mostCalls() {
 			continue
 		}
 		if due := l.due(); due.After(now) {
@@ -288,7 +302,7 @@
 			continue
 		}
 		if r := n.request(now, l); r != nil {
-			l.busy = true
+			l.calls++
 			sends = append(sends, Send{To: l.peer, Request: r})
 			continue
 		}
