--- /dev/null
+++ b/script/soak/main.go
@@ -0,0 +1,98 @@
+// Command soak runs a fleet of real processes on loopback, injects faults from
+// outside by seed, and checks from what callers and backend servers see that the
+// promises hold meanwhile: docs/SOAK.md.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+)
+
+// settings are the flags of the command.
+type settings struct {
+	Seed     uint64        `help:"Seed of the faults and of the load." default:"1"`
+	For      time.Duration `help:"Length of the faults." default:"30s"`
+	Controls int           `help:"Control hosts." default:"3"`
+	Entries  int           `help:"Entry hosts." default:"4"`
+	Backends int           `help:"Stand-in backends of each service." default:"5"`
+	Rate     float64       `help:"Requests a second over all entry hosts." default:"60"`
+	Binary   string        `help:"Program to run; built from this repository when it is not given." placeholder:"PATH"`
+	Logs     string        `help:"Folder for the logs of all processes; they are kept." placeholder:"FOLDER"`
+	Break    string        `help:"Break a promise on purpose, to see its check fail: twice, denial, answer or config." enum:",twice,denial,answer,config" default:""`
+}
+
+const (
+	// startTime bounds the start of the fleet.
+	startTime = 60 * time.Second
+	// recoveryTime is the bound of the users' deployments for the service after
+	// the last fault.
+	recoveryTime = 15 * time.Second
+)
+
+func main() {
+	var s settings
+	kong.Parse(&s, kong.Description("Runs a fleet under faults and checks its promises."))
+	if err := run(context.Background(), &s); err != nil {
+		fmt.Fprintf(os.Stderr, "soak: seed %d: %v\n", s.Seed, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, s *settings) error {
+	folder, err := os.MkdirTemp("", "mustardramp-soak-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if s.Logs == "" {
+		s.Logs = filepath.Join(folder, "logs")
+	}
+	if err := os.MkdirAll(s.Logs, 0o755); err != nil {
+		return err
+	}
+	if s.Binary == "" {
+		s.Binary = filepath.Join(folder, "mustardramp")
+		build := exec.CommandContext(ctx, "go", "build", "-o", s.Binary, "./cmd/mustardramp")
+		if out, err := build.CombinedOutput(); err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	f, err := newFleet(s, folder)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	return play(ctx, s, f)
+}
+
+// play starts the fleet, injects the faults beside the load, and judges.
+func play(ctx context.Context, s *settings, f *fleet) error {
+	if err := f.start(ctx); err != nil {
+		return err
+	}
+	var book ledger
+	book.breaks = s.Break
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	var load errgroup.Group
+	load.Go(func() error { return callers(loadCtx, s, f, &book) })
+	load.Go(func() error { return operate(loadCtx, s, f, &book) })
+	injected := inject(ctx, s, f, &book)
+	recovered := f.awaitService(ctx, recoveryTime)
+	// The last answers and the last runs are to be seen.
+	time.Sleep(time.Second)
+	endLoad()
+	err := errors.Join(injected, recovered, load.Wait(), f.checkConfiguration(ctx, &book))
+	f.close()
+	broken := book.judge(f)
+	fmt.Println(book.summary(s))
+	return errors.Join(err, broken)
+}
