Look at each keeper's wait once in a choice

Cause: the draw among keepers looked at their waits twice; one that changed between left no group drawn, and a request that ends with a panic where the link between regions is metered. Found by reading the diff.

Test: TestChoiceBesideChangingWaits, no group in the first thousands of choices before, none missing now.

--- a/internal/lease/choice.go
+++ b/internal/lease/choice.go
@@ -69,49 +69,56 @@
 // choose returns a group where the demand is expected to start soonest, or nil.
 func (p *Pool) choose(demand *mustardramp.Demand, skip map[GroupID]bool) *group {
 	now := p.clock.Now()
-	at := now.UnixNano()
 	groups := p.plan.Load().groups
-	cost := func(g *group) float64 {
-		if skip[g.id] || !g.fits(demand) {
-			return math.Inf(1)
-		}
-		d := p.config.Pool.Place.To(g.place)
-		return p.expected(g.id, demand.Rank, at)*reluctance[d] + detourOf(d, demand.Size)
-	}
+	// Waits change meanwhile: each is looked at once.
+	costs := make([]float64, len(groups))
 	least := math.Inf(1)
-	for _, g := range groups {
-		least = min(least, cost(g))
+	for i, g := range groups {
+		costs[i] = p.cost(g, demand, skip, now.UnixNano())
+		least = min(least, costs[i])
 	}
 	if math.IsInf(least, 1) {
 		return nil
 	}
-	best := p.draw(groups, func(g *group) bool { return cost(g) <= least+float64(leastError) })
+	best := p.draw(groups, costs, least+float64(leastError))
 	if !p.mayCross(best, demand, now) {
 		return p.chooseNear(demand, skip)
 	}
 	return best
 }
 
-// draw picks one of the groups that are good, by the number of their slots. It
-// answers the load of a large service: most waits are told as none, and the
-// keeper that every host names first would have all the asks.
-func (p *Pool) draw(groups []*group, good func(*group) bool) *group {
+// cost returns the time that a demand is expected to lose at a group, or
+// infinity where the demand may not go.
+func (p *Pool) cost(g *group, demand *mustardramp.Demand, skip map[GroupID]bool, at int64) float64 {
+	if skip[g.id] || !g.fits(demand) {
+		return math.Inf(1)
+	}
+	d := p.config.Pool.Place.To(g.place)
+	return p.expected(g.id, demand.Rank, at)*reluctance[d] + detourOf(d, demand.Size)
+}
+
+// draw picks one of the groups that cost no more than most, by the number of
+// their slots. It answers the load of a large service: most waits are told as
+// none, and the keeper that every host names first would have all the asks.
+func (p *Pool) draw(groups []*group, costs []float64, most float64) *group {
 	total := 0
-	for _, g := range groups {
-		if good(g) {
+	for i, g := range groups {
+		if costs[i] <= most {
 			total += g.weight()
 		}
 	}
 	roll := int(mix(p.config.Pool.Seed+p.rolls.Add(1)) % uint64(total))
-	for _, g := range groups {
-		if !good(g) {
+	var drawn *group
+	for i, g := range groups {
+		if costs[i] > most {
 			continue
 		}
+		drawn = g
 		if roll -= g.weight(); roll < 0 {
-			return g
+			break
 		}
 	}
-	return nil
+	return drawn
 }
 
 // weight is at least 1, so that a group on trial alone can be drawn.
--- a/internal/lease/choice_test.go
+++ b/internal/lease/choice_test.go
@@ -1,8 +1,12 @@
 package lease
 
 import (
+	"context"
 	"math"
 	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/pool"
@@ -39,3 +43,33 @@
 		}
 	}
 }
+
+// TestChoiceBesideChangingWaits chooses while keepers tell of other waits: each
+// choice must name a group.
+func TestChoiceBesideChangingWaits(t *testing.T) {
+	var standings []mustardramp.Standing
+	for i := range 66 {
+		standings = append(standings, standing(i, kolA, 3))
+	}
+	p := New(Config{Pool: pool.Config{Terms: terms(), Place: kolA}})
+	p.Update(standings)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		for n := 0; ctx.Err() == nil; n++ {
+			for _, g := range p.plan.Load().groups {
+				p.note(g.id, mustardramp.Bulk, time.Duration(n%7)*leastError)
+			}
+		}
+		return nil
+	})
+	demand := bulk()
+	for range 20_000 {
+		if p.choose(&demand, nil) == nil {
+			t.Error("got no group, want one")
+			break
+		}
+	}
+	cancel()
+	_ = group.Wait()
+}
