--- a/internal/lease/pulse.go
+++ b/internal/lease/pulse.go
@@ -14,9 +14,9 @@
 	// the other region and back.
 	pulsePause = 80 * time.Millisecond
 	// leastPulse and mostPulse bound how long the keeper has to say so: several
-	// times the way to the other region and back where it is quick, and a third
-	// of the shortest target of the deployments where its processor or its link
-	// is busy. A host whose keeper answers late must not take it for lost: it
+	// times the way to the other region and back where it is quick, and half of
+	// the shortest target of the deployments, 0.8 s, where its processor or its
+	// link is busy. A host whose keeper answers late must not take it for lost: it
 	// would then send work by itself, beyond the slots that the keeper counts.
 	leastPulse = 120 * time.Millisecond
 	mostPulse  = 400 * time.Millisecond
--- a/pkg/cmd/entry/serve/serve.go
+++ b/pkg/cmd/entry/serve/serve.go
@@ -22,6 +22,7 @@
 	TLSKey         string            `help:"PEM file of the certificate's key." env:"MUSTARDRAMP_TLS_KEY"`
 	TLSClientCA    string            `help:"PEM file of the authority of callers' certificates." env:"MUSTARDRAMP_TLS_CLIENT_CA"`
 	RefusalBytes   mustardramp.Bytes `help:"Memory for refusals, in bytes." default:"16777216" env:"MUSTARDRAMP_REFUSAL_BYTES"`
+	LinkRate       mustardramp.Bytes `help:"Rate of the host's own link each way, in bytes a second; 0 paces no bodies." default:"0" env:"MUSTARDRAMP_LINK_RATE"`
 	StopDelay      time.Duration     `help:"Time from the fall of readiness to the end of accepting, for the balancer." default:"5s" env:"MUSTARDRAMP_STOP_DELAY"`
 
 	factory *factory.Factory
@@ -66,6 +67,7 @@
 		CallerHeader:  o.CallerHeader,
 		TLS:           host.Files{Cert: o.TLSCert, Key: o.TLSKey, CA: o.TLSClientCA},
 		RefusalBytes:  o.RefusalBytes,
+		LinkRate:      o.LinkRate,
 		StopDelay:     o.StopDelay,
 	}
 	check.Secret("--announce-token", o.AnnounceToken)
--- a/script/soak/callers.go
+++ b/script/soak/callers.go
@@ -148,7 +148,7 @@
 
 // operate publishes revisions of the contracts until the context ends. One that
 // is not acknowledged may be in force or not.
-func operate(ctx context.Context, s *settings, f *fleet, book *ledger) error {
+func operate(ctx context.Context, f *fleet, book *ledger) error {
 	book.ack(1)
 	for revision := 2; ctx.Err() == nil; revision++ {
 		time.Sleep(publishPause)
--- a/script/soak/main.go
+++ b/script/soak/main.go
@@ -84,7 +84,7 @@
 	defer endLoad()
 	var load errgroup.Group
 	load.Go(func() error { return callers(loadCtx, s, f, &book) })
-	load.Go(func() error { return operate(loadCtx, s, f, &book) })
+	load.Go(func() error { return operate(loadCtx, f, &book) })
 	injected := inject(ctx, s, f, &book)
 	recovered := f.awaitService(ctx, recoveryTime)
 	// The last answers and the last runs are to be seen.
