A late sign of life does not end the connection to a keeper

Change: a connection is given up after 1.2 s of silence, not at the first call that runs out of time.

Test: TestLateCallLeavesTheOthers.

--- a/internal/lease/network.go
+++ b/internal/lease/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
@@ -79,6 +80,11 @@
 // side: the asks of all ranks that a host lets wait, and reports.
 const Concurrency = int(mustardramp.RankCount)*maxAsks + 16
 
+// deadTime is the silence after which a connection to a keeper is given up: a few
+// questions without an answer. On a busy link a single one is often late, and
+// all asks and grants on the connection would be lost with it.
+const deadTime = 1200 * time.Millisecond
+
 // client is the connection to one host.
 type client struct {
 	*link.Client
@@ -197,6 +203,6 @@
 	}
 	c := &client{Client: create(address)}
 	// The context of each call bounds it.
-	c.Timeout = askTime
+	c.Timeout, c.DeadAfter = askTime, deadTime
 	return c
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -30,6 +30,10 @@
 	// Redial is the least time between two attempts to connect; calls in
 	// between fail at once. 0 is DefaultRedial.
 	Redial time.Duration
+	// DeadAfter is how long a connection is silent, while calls run out of time,
+	// before it is given up with all calls on it. 0 gives it up at the first call
+	// that ran out of time.
+	DeadAfter time.Duration
 	// Dial makes the connection; nil is a plain TCP dialer.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Traffic counts the bytes of the link over all its connections.
@@ -42,6 +46,10 @@
 	failed  error
 	retryAt time.Time
 	closed  bool
+	// silentSince is when the first call began that ran out of time since silentAt
+	// bytes had been heard.
+	silentSince time.Time
+	silentAt    int64
 }
 
 // Caller makes calls to one peer.
@@ -78,14 +86,14 @@
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err)
 	}
-	heard := c.Traffic.heard.Load()
+	heard, began := c.Traffic.heard.Load(), time.Now()
 	var result json.RawMessage
 	err = conn.Call(ctx, method, params, &result)
 	if err == nil {
 		return result, nil
 	}
 	err = classify(err)
-	if ErrLost.Has(err) && c.isDead(ctx, heard) {
+	if ErrLost.Has(err) && c.isDead(ctx, heard, began) {
 		c.drop(conn)
 	}
 	return nil, err
@@ -94,11 +102,25 @@
 // isDead reports whether the connection of a lost call is of no more use. While
 // other calls are answered, a call that ran out of time or was given up may
 // have been at fault itself.
-func (c *Client) isDead(ctx context.Context, heard int64) bool {
-	if errors.Is(ctx.Err(), context.Canceled) {
+func (c *Client) isDead(ctx context.Context, heard int64, began time.Time) bool {
+	switch {
+	case ctx.Err() == nil:
+		return true
+	case errors.Is(ctx.Err(), context.Canceled) || c.Traffic.heard.Load() != heard:
 		return false
 	}
-	return ctx.Err() == nil || c.Traffic.heard.Load() == heard
+	return c.silence(heard, began) >= c.DeadAfter
+}
+
+// silence returns how long nothing was heard while calls ran out of time, the
+// last of which began at a time.
+func (c *Client) silence(heard int64, began time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silentSince.IsZero() || c.silentAt != heard {
+		c.silentSince, c.silentAt = began, heard
+	}
+	return time.Since(c.silentSince)
 }
 
 func classify(err error) error {
@@ -221,7 +243,7 @@
 func (c *Client) drop(conn *jsonrpc2.Conn) {
 	c.mu.Lock()
 	if c.conn == conn {
-		c.conn = nil
+		c.conn, c.silentSince = nil, time.Time{}
 	}
 	c.mu.Unlock()
 	_ = conn.Close()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -205,6 +205,50 @@
 	}
 }
 
+// TestLateCallLeavesTheOthers has a call wait at a busy peer while another runs
+// out of time: only a silence as long as DeadAfter ends both.
+func TestLateCallLeavesTheOthers(t *testing.T) {
+	tests := map[string]struct {
+		deadAfter time.Duration
+		wantLost  bool
+	}{
+		"given up at once":      {0, true},
+		"given up after a time": {time.Hour, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s Server
+			release := make(chan struct{})
+			Handle(&s.Router, "wait", func(ctx context.Context, e echo) (echo, error) {
+				select {
+				case <-release:
+				case <-ctx.Done():
+				}
+				return e, nil
+			})
+			address, _ := start(t, &s)
+			c := newClient(t, &Client{Address: address, Timeout: time.Hour, DeadAfter: test.deadAfter})
+			var group errgroup.Group
+			group.Go(func() error {
+				_, err := Call[echo](t.Context(), c, "wait", echo{"waits"})
+				return err
+			})
+			for c.Traffic.sent.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+			defer cancel()
+			if _, err := Call[echo](ctx, c, "wait", echo{"late"}); !ErrLost.Has(err) {
+				t.Errorf("got %v, want a call that ran out of time", err)
+			}
+			close(release)
+			if err := group.Wait(); ErrLost.Has(err) != test.wantLost {
+				t.Errorf("got %v for the other call, want it lost: %v", err, test.wantLost)
+			}
+		})
+	}
+}
+
 func TestClosedClient(t *testing.T) {
 	c := &Client{}
 	_ = c.Close()
