Run the soak on the project's own stand-in

The soak's backend wrote internal/standin.Backend again: slots, sheds, faults and the count of runs. It uses it now, and callers compare the whole answer, which names the request and the length of the body that arrived. Checks stay as strict; an upload that loses bytes on its way is seen now too. Copies of lists by slices.Concat; an unused parameter and a wrapper of one call are gone.

--- a/script/soak/backend.go
+++ b/script/soak/backend.go
@@ -1,21 +1,20 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/mustardramp/mustardramp/internal/standin"
 )
 
+// standinName stands in each answer, and workTime is the time of each request.
+const (
+	standinName = "soak"
+	workTime    = 15 * time.Millisecond
+)
+
 // services are those of the soak: each has work that may be repeated, work that
 // must not, and uploads.
 var services = []string{"files", "orders"}
@@ -38,31 +37,19 @@
   - {path: "/revision", methods: [GET], rank: normal, retry: true, deadline: %ds}
 `
 
-// backend is a stand-in that notes each run of a request.
+// backend is a stand-in behind a proxy.
 type backend struct {
-	service string
-	door    *proxy
-	// sick is the share of requests that fail, and slow their delay.
-	sick atomic.Pointer[sickness]
-
-	busy atomic.Int64
-	mu   sync.Mutex
-	// runs counts the runs by request.
-	runs map[string]int
-}
+	standin.Backend
 
-type sickness struct {
-	errors, cuts, hangs float64
-	delay               time.Duration
+	door *proxy
 }
 
-func newBackend(f *fleet, service string, _ int) (*backend, error) {
+func newBackend(f *fleet, service string) (*backend, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{service: service, runs: map[string]int{}}
-	b.sick.Store(&sickness{})
+	b := &backend{Backend: standin.Backend{Name: standinName, Slots: slots, Work: workTime}}
 	if b.door, err = newProxy(f, l.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -81,52 +68,8 @@
 	return b, nil
 }
 
-// answerOf is the body that belongs to a request: it names the request, and its
-// digest shows that it is whole.
-func answerOf(id string) string {
-	sum := sha256.Sum256([]byte(id))
-	return "answer to " + id + " " + hex.EncodeToString(sum[:])
-}
-
-// ServeHTTP runs one request, unless all slots are taken.
-func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if b.busy.Add(1) > slots {
-		b.busy.Add(-1)
-		w.Header().Set(standin.ShedHeader, "full")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	defer b.busy.Add(-1)
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
-	}
-	id := r.Header.Get("X-Request-Id")
-	b.mu.Lock()
-	b.runs[id]++
-	b.mu.Unlock()
-	sick := b.sick.Load()
-	time.Sleep(time.Duration(5+rand.IntN(20))*time.Millisecond + sick.delay)
-	body := answerOf(id)
-	switch roll := rand.Float64(); {
-	case roll < sick.errors:
-		http.Error(w, "failed on purpose", http.StatusInternalServerError)
-	case roll < sick.errors+sick.cuts:
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		_, _ = io.WriteString(w, body[:len(body)/2])
-		panic(http.ErrAbortHandler)
-	case roll < sick.errors+sick.cuts+sick.hangs:
-		<-r.Context().Done()
-	default:
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		fmt.Fprint(w, body)
-	}
-}
-
-// count adds the backend's runs to those of the others.
-func (b *backend) count(into map[string]int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, n := range b.runs {
-		into[id] += n
-	}
+// answerOf is the whole answer to a request: it names the request, and the length
+// of the body that arrived.
+func answerOf(method, path string, length int) string {
+	return fmt.Sprintf("%s served %s %s, %d bytes in\n", standinName, method, path, length)
 }
--- a/script/soak/callers.go
+++ b/script/soak/callers.go
@@ -62,14 +62,29 @@
 	body        []byte
 }
 
+func (c *call) method() string {
+	if c.read {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+
+func (c *call) path() string {
+	if c.read {
+		return "/reads/" + c.id
+	}
+	return "/acts/" + c.id
+}
+
+// name is what the stand-ins count the request's runs by.
+func (c *call) name() string {
+	return c.method() + " " + c.path()
+}
+
 func (c *call) send(book *ledger) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTime)
 	defer cancel()
-	method, path := http.MethodPost, "/acts/"+c.id
-	if c.read {
-		method, path = http.MethodGet, "/reads/"+c.id
-	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.entry.door.address+path, bytes.NewReader(c.body))
+	r, err := http.NewRequestWithContext(ctx, c.method(), "http://"+c.entry.door.address+c.path(), bytes.NewReader(c.body))
 	if err != nil {
 		book.fault(err)
 		return
@@ -79,7 +94,7 @@
 	r.Host = c.service + ".example"
 	r.Header.Set("X-Request-Id", c.id)
 	if !c.read {
-		book.sending(c.id)
+		book.sending(c.name())
 	}
 	response, err := c.transport.RoundTrip(r)
 	if err != nil {
@@ -139,10 +154,10 @@
 		text += "!"
 	}
 	switch {
-	case response.StatusCode == http.StatusOK && err == nil && text != answerOf(c.id):
+	case response.StatusCode == http.StatusOK && err == nil && text != answerOf(c.method(), c.path(), len(c.body)):
 		book.fault(fmt.Errorf("whole and own answers: request %s got %q", c.id, text))
 	case strings.HasPrefix(response.Header.Get("Mustardramp-Verdict"), notRun) && !c.read:
-		book.deny(c.id)
+		book.deny(c.name())
 	}
 }
 
--- a/script/soak/faults.go
+++ b/script/soak/faults.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp/internal/standin"
 )
 
 // fault is a kind of fault: it begins, lasts and ends.
@@ -67,13 +69,13 @@
 		return i.rain(pick(random, i.f.backends).door, weather{refuse: true}, span)
 	}},
 	{"backend fails", func(i *injector, random *rand.Rand, span time.Duration) error {
-		return i.sicken(pick(random, i.f.backends), sickness{errors: 0.4, cuts: 0.2}, span)
+		return i.sicken(pick(random, i.f.backends), standin.Fault{Errors: 0.4, Cuts: 0.2}, span)
 	}},
 	{"backend hangs", func(i *injector, random *rand.Rand, span time.Duration) error {
-		return i.sicken(pick(random, i.f.backends), sickness{hangs: 0.5}, span)
+		return i.sicken(pick(random, i.f.backends), standin.Fault{Hangs: 0.5}, span)
 	}},
 	{"backend slow", func(i *injector, random *rand.Rand, span time.Duration) error {
-		return i.sicken(pick(random, i.f.backends), sickness{delay: 300 * time.Millisecond}, span)
+		return i.sicken(pick(random, i.f.backends), standin.Fault{Delay: 300 * time.Millisecond}, span)
 	}},
 }
 
@@ -181,15 +183,15 @@
 	return nil
 }
 
-func (i *injector) sicken(b *backend, s sickness, span time.Duration) error {
+func (i *injector) sicken(b *backend, fault standin.Fault, span time.Duration) error {
 	release, err := claims.take(b.door.address + " sick")
 	if err != nil {
 		return err
 	}
 	defer release()
-	b.sick.Store(&s)
+	b.Fail(fault)
 	time.Sleep(span)
-	b.sick.Store(&sickness{})
+	b.Fail(standin.Fault{})
 	return nil
 }
 
--- a/script/soak/fleet.go
+++ b/script/soak/fleet.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -125,14 +127,14 @@
 
 // start starts all processes and backends, and waits until all serve.
 func (f *fleet) start(ctx context.Context) error {
-	for _, p := range append(append([]*process(nil), f.controls...), f.entries...) {
+	for _, p := range slices.Concat(f.controls, f.entries) {
 		if err := p.start(f.settings); err != nil {
 			return err
 		}
 	}
 	for _, service := range services {
-		for i := range f.settings.Backends {
-			b, err := newBackend(f, service, i)
+		for range f.settings.Backends {
+			b, err := newBackend(f, service)
 			if err != nil {
 				return err
 			}
@@ -269,7 +271,7 @@
 // than the newest that was acknowledged.
 func (f *fleet) checkConfiguration(ctx context.Context, book *ledger) error {
 	var all error
-	for _, p := range append(append([]*process(nil), f.controls...), f.entries...) {
+	for _, p := range slices.Concat(f.controls, f.entries) {
 		var text string
 		if err := f.command(ctx, &text, p, "contract", "show", services[0]); err != nil {
 			all = errors.Join(all, fmt.Errorf("configuration: %s: %w", p.name, err))
@@ -286,7 +288,7 @@
 func (f *fleet) close() {
 	f.closed.Do(func() {
 		f.stop()
-		for _, p := range append(append([]*process(nil), f.entries...), f.controls...) {
+		for _, p := range slices.Concat(f.entries, f.controls) {
 			_ = p.signal(syscall.SIGCONT)
 			_ = p.signal(syscall.SIGKILL)
 			p.wait()
@@ -298,7 +300,7 @@
 // announcer tells the entry hosts of a backend until the fleet closes.
 func (f *fleet) announcer(service, address string) *announce.Client {
 	c := &announce.Client{Token: announceToken, Lease: 4 * time.Second, About: announce.Announcement{
-		Service: mustardramp.ServiceName(service), Address: mustParse(address), Zone: "kol-a", Region: "kolkata",
+		Service: mustardramp.ServiceName(service), Address: netip.MustParseAddrPort(address), Zone: "kol-a", Region: "kolkata",
 		Slots: slots, Connections: 400, Incarnation: mustardramp.Incarnation(time.Now().UnixMilli()),
 	}}
 	for _, p := range f.entries {
--- a/script/soak/ledger.go
+++ b/script/soak/ledger.go
@@ -14,9 +14,9 @@
 	breaks string
 
 	mu sync.Mutex
-	// sent holds the ids of the requests that must not repeat.
+	// sent holds the names of the requests that must not repeat.
 	sent map[string]bool
-	// denied holds the ids of those whose caller was told that they did not run.
+	// denied holds the names of those whose caller was told that they did not run.
 	denied map[string]bool
 	// faults are broken promises that a caller saw by itself.
 	faults []error
@@ -88,7 +88,9 @@
 	defer l.mu.Unlock()
 	runs := map[string]int{}
 	for _, b := range f.backends {
-		b.count(runs)
+		for name, n := range b.Runs() {
+			runs[name] += n
+		}
 	}
 	if l.breaks == "twice" || l.breaks == "denial" {
 		for id := range l.sent {
--- a/script/soak/proxy.go
+++ b/script/soak/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -136,7 +135,3 @@
 		}
 	}
 }
-
-func mustParse(address string) netip.AddrPort {
-	return netip.MustParseAddrPort(address)
-}
