--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,9 +17,8 @@
 )
 
 const (
-	// callTime bounds one call to a peer. It is above the time that packets wait
-	// on a link that is choked by uploads, of which half a second is usual on the
-	// grown deployments.
+	// callTime bounds one call to a peer: twice the wait from which a link counts
+	// as choked on the deployments, half a second.
 	callTime = time.Second
 	// feedTime bounds a call that carries a change to a fed host. A connection
 	// that is given up loses what waits on it, and a new one takes longer.
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// groupSize is the number of backends that one keeper takes on. A host with
-	// 2 Mbit/s carries the asks and reports of about fifty requests a second
-	// beside its own work; those of 12 backends of the grown deployments are 40 to
-	// 50. The services of the smaller ones have one keeper a region all the same.
+	// groupSize is the number of backends that one keeper takes on. 12 backends of
+	// the grown deployments have 36 to 50 requests a second; with 32 the keepers
+	// were the bottleneck on links of 2.9 Mbit/s (docs/MEASUREMENTS.md). Services
+	// of the smaller deployments have one keeper a region either way.
 	groupSize = 12
 	// keepersPerGroup is the number of hosts that are asked for a group, one
 	// after the other.
--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// limit bounds the bytes that wait to be written: about two thousand lines, a
-	// few seconds of a busy host.
+	// limit bounds the bytes that wait to be written: over a thousand lines of
+	// the longest usual kind, that of a refusal.
 	limit = 512 << 10
 	// flushPause is the time in which lines gather for one write.
 	flushPause = 20 * time.Millisecond
