--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -150,11 +150,25 @@
 	for _, k := range fetchOrder {
 		if mask := n.mask(k, resp.Buckets[k]); mask != 0 {
 			l.fetch = n.newFetch(k, mask, 0, true)
+			n.caughtUp = append(n.caughtUp, CatchUp{From: l.peer.Name, Kind: k})
 			return
 		}
 	}
 }
 
+// CatchUp is the begin of a fetch from a peer whose records of a kind differ.
+type CatchUp struct {
+	From mustardramp.HostName
+	Kind mustardramp.RecordKind
+}
+
+// CatchUps returns the catch-ups that began since the last call.
+func (n *Node) CatchUps() []CatchUp {
+	begun := n.caughtUp
+	n.caughtUp = nil
+	return begun
+}
+
 // mask has a bit for each bucket whose digest differs from the peer's.
 func (n *Node) mask(kind mustardramp.RecordKind, theirs []uint64) uint64 {
 	if len(theirs) != bucketCount {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,6 +62,8 @@
 	links map[mustardramp.HostName]*peerClient
 	// closed counts the bytes of links that are no longer held.
 	closed map[mustardramp.Distance]Usage
+	// called is the lost host that is called at present, or none.
+	called mustardramp.HostName
 	// short is true while the budget holds catch-ups back.
 	short bool
 
@@ -220,6 +222,13 @@
 	for _, m := range e.core.Members.Turned() {
 		klog.InfoS("host-standing", "host", m.Host.Name, "standing", m.Standing.String(), "incarnation", m.Host.Incarnation)
 	}
+	for _, c := range e.core.Node.CatchUps() {
+		klog.InfoS("catch-up", "from", c.From, "kind", c.Kind.String())
+	}
+	if lost := e.core.Members.Called(); lost != e.called {
+		e.called = lost
+		klog.InfoS("lost-host-called", "host", lost)
+	}
 	if isShort := e.core.Node.IsShort(now); isShort != e.short {
 		e.short = isShort
 		klog.InfoS("exchange-budget", "short", isShort, "spent", e.core.Node.Spent())
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -88,6 +88,8 @@
 	order    []mustardramp.HostName
 	expected map[ref]expectation
 	copies   map[ref]copies
+	// caughtUp lists the catch-ups begun since CatchUps was called.
+	caughtUp []CatchUp
 	// fetcher is the link that compares digests in full, or nil: one link does
 	// so at a time, so that nothing is fetched twice.
 	fetcher *peerLink
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -72,6 +72,8 @@
 	chosen   []Host
 	chosenAt time.Time
 	changed  bool
+	// called is the lost host among the peers chosen last, or none.
+	called mustardramp.HostName
 	// turned are the hosts whose standing changed since Turned was called.
 	turned []Member
 }
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -42,8 +42,8 @@
 	for name := range m.probes {
 		picked[name] = true
 	}
-	if name := m.rejoining(now); name != "" {
-		picked[name] = true
+	if m.called = m.rejoining(now); m.called != "" {
+		picked[m.called] = true
 	}
 	m.chosen = m.hosts(picked)
 	return m.chosen
@@ -211,6 +211,11 @@
 	return chosen
 }
 
+// Called returns the lost host that is called at present, or none.
+func (m *Members) Called() mustardramp.HostName {
+	return m.called
+}
+
 func score(a, b string) uint64 {
 	return xxhash.Sum64String(a + "\x00" + b)
 }
--- a/internal/pool/belief.go
+++ b/internal/pool/belief.go
@@ -107,6 +107,19 @@
 	return b.then != 0
 }
 
+// Turn is the change of a belief by one outcome.
+type Turn struct {
+	// Before and After are the risks as of the outcome.
+	Before, After float64
+}
+
+// IsDoubt reports whether requests with little patience pass the backend over
+// from now on.
+func (t Turn) IsDoubt() bool { return t.Before < riskLimit && t.After >= riskLimit }
+
+// IsTrust reports whether requests with little patience take the backend again.
+func (t Turn) IsTrust() bool { return t.Before >= riskLimit && t.After < riskLimit }
+
 // Belief is what a keeper believes of one backend.
 type Belief struct {
 	Backend mustardramp.BackendID `cbor:"1,keyasint"`
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -31,6 +31,8 @@
 	bill    queue.Bill
 	// check marks an attempt that keeps the floor in use.
 	check bool
+	// unused is how long the backend had no attempt before, or 0 for its first.
+	unused time.Duration
 }
 
 // Backend returns the backend to send the attempt to.
@@ -143,10 +145,13 @@
 	return c.enqueue(now, demand)
 }
 
-// Finish ends an attempt and gives the free slot to waiting tickets.
-func (c *Core) Finish(now time.Time, lease Lease, result mustardramp.Result, latency time.Duration) {
+// Finish ends an attempt and gives the free slot to waiting tickets. It returns
+// how the result changed the belief about the backend.
+func (c *Core) Finish(now time.Time, lease Lease, result mustardramp.Result, latency time.Duration) Turn {
 	lease.member.flights.end(lease.granted.UnixNano())
+	turn := Turn{Before: lease.member.belief.at(now.UnixNano())}
 	shown := lease.member.leave(result, latency, now)
+	turn.After = lease.member.belief.at(now.UnixNano())
 	if !lease.check {
 		// The floor is kept up while the work that beliefs place fails: what its
 		// own attempts show would keep it up for good.
@@ -157,12 +162,13 @@
 		c.transit.observe(now.Sub(lease.granted), latency)
 	}
 	if c.queued.Load() == 0 {
-		return
+		return turn
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.queue.Settle(lease.bill, now.Sub(lease.granted))
 	c.dispatch(now)
+	return turn
 }
 
 // Poll gives free slots to waiting tickets. It is called when a hold ends,
@@ -285,9 +291,13 @@
 }
 
 func (c *Core) lease(now time.Time, p placed, rank mustardramp.Rank) Lease {
-	p.member.flights.begin(now.UnixNano())
-	p.member.used.Store(now.UnixNano())
-	return Lease{member: p.member, rank: rank, granted: now, check: p.check}
+	at := now.UnixNano()
+	l := Lease{member: p.member, rank: rank, granted: now, check: p.check}
+	p.member.flights.begin(at)
+	if last := p.member.used.Swap(at); last > 0 {
+		l.unused = time.Duration(at - last)
+	}
+	return l
 }
 
 func (c *Core) settle(t *Ticket, lease Lease) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/mustardramp/mustardramp"
 )
 
@@ -102,7 +104,15 @@
 	return ctx.Err()
 }
 
+// unusedToLog is the time without an attempt from which the next one is logged:
+// that within which the floor is measured.
+const unusedToLog = 2 * time.Second
+
 func (p *Pool) slot(lease Lease) *slot {
+	if lease.unused >= unusedToLog {
+		klog.InfoS("backend-tried-again", "service", p.core.terms.Load().Service, "backend", lease.member.backend.Address,
+			"unused", lease.unused.Milliseconds(), "risk", lease.member.belief.at(lease.granted.UnixNano()), "floor", lease.check)
+	}
 	return &slot{Lease: lease, pool: p}
 }
 
@@ -115,7 +125,10 @@
 // Release implements mustardramp.Slot.
 func (s *slot) Release(result mustardramp.Result, latency time.Duration) {
 	now := s.pool.clock.Now()
-	s.pool.core.Finish(now, s.Lease, result, latency)
+	if turn := s.pool.core.Finish(now, s.Lease, result, latency); turn.IsDoubt() || turn.IsTrust() {
+		klog.InfoS("backend-belief", "service", s.pool.core.terms.Load().Service, "backend", s.member.backend.Address,
+			"ill", turn.IsDoubt(), "risk", turn.After, "before", turn.Before, "result", result)
+	}
 	if s.pool.results != nil {
 		s.pool.results.Observe(s.rank, result, now)
 	}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -116,6 +116,8 @@
 	reads     []readResult
 	// refused names proposals that were not appended.
 	refused []ProposalID
+	// unwon are the canvasses and elections that ended without a quorum.
+	unwon []ballotCount
 }
 
 // batch is what is to be synced together.
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -10,8 +10,39 @@
 	return c.leader != 0 && c.elapsed < c.timing.Election
 }
 
+// ballotCount is how members answered a canvass or an election.
+type ballotCount struct {
+	// pre is set for a canvass, which binds nobody.
+	pre  bool
+	term Term
+	// granted and refused list the members that answered, this one included.
+	granted, refused []MemberID
+}
+
+// closeBallot notes a canvass or an election that no quorum granted in time.
+func (c *core) closeBallot() {
+	if c.votes == nil || c.role != preCandidate && c.role != candidate {
+		return
+	}
+	count := ballotCount{pre: c.role == preCandidate, term: c.state.Term}
+	if count.pre {
+		count.term++
+	}
+	for _, member := range c.membership() {
+		granted, answered := c.votes[member.ID]
+		switch {
+		case granted:
+			count.granted = append(count.granted, member.ID)
+		case answered:
+			count.refused = append(count.refused, member.ID)
+		}
+	}
+	c.out.unwon = append(c.out.unwon, count)
+}
+
 // campaign asks whether an election would be won, at no cost to the term.
 func (c *core) campaign() {
+	c.closeBallot()
 	c.role = preCandidate
 	c.leader = 0
 	c.refuseReads()
--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -162,6 +162,9 @@
 		return nil, errors.Join(err, j.Close())
 	}
 	g.publishStatus()
+	s := g.Status()
+	klog.InfoS("member-opened", "group", config.Group, "member", s.Self.ID, "term", s.Term, "index", g.core.log.last(),
+		"voter", g.core.isVoter(), "voters", s.Membership.voters())
 	return g, nil
 }
 
@@ -349,6 +352,7 @@
 	g.addTask(out)
 	g.waiting.refused(out.refused)
 	g.waiting.confirm(out.reads)
+	g.logBallots(out.unwon)
 	if !g.syncing {
 		g.sync()
 	}
@@ -382,6 +386,23 @@
 	g.status.Store(&next)
 }
 
+// logBallots tells who answered in elections that were not won: what separates a
+// split vote from members that are silent or ahead.
+func (g *Group) logBallots(unwon []ballotCount) {
+	for _, b := range unwon {
+		klog.InfoS("election-unwon", "group", g.config.Group, "pre", b.pre, "term", b.term, "index", g.core.log.last(),
+			"voters", g.core.membership().voters(), "granted", g.hostsOf(b.granted), "refused", g.hostsOf(b.refused))
+	}
+}
+
+func (g *Group) hostsOf(ids []MemberID) []mustardramp.HostName {
+	hosts := make([]mustardramp.HostName, len(ids))
+	for i, id := range ids {
+		hosts[i] = g.hostOf(id)
+	}
+	return hosts
+}
+
 // send passes messages on. One to a member whose host is not known is lost.
 func (g *Group) send(messages []Message) {
 	for _, m := range messages {
--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -153,8 +153,15 @@
 	for _, m := range in.order(p) {
 		g.Receive(p.From, m)
 	}
+	if n := len(in.held); n >= heldToLog && n&(n-1) == 0 {
+		klog.InfoS("parcels-held", "method", l.method, "from", p.From, "held", n, "next", in.next, "stream", in.stream)
+	}
 }
 
+// heldToLog is the number of held parcels from which they are logged, at each
+// doubling: parcels that travel side by side seldom pass more than a few others.
+const heldToLog = 4
+
 // inlet puts the parcels of one host in order.
 type inlet struct {
 	stream uint64
--- a/record.go
+++ b/record.go
@@ -19,6 +19,14 @@
 	RecordKindCount
 )
 
+// String returns the kind's name.
+func (k RecordKind) String() string {
+	if k >= RecordKindCount {
+		return "unknown"
+	}
+	return [...]string{"change", "backend", "host", "pressure", "evidence"}[k]
+}
+
 // Version orders the records of one key. It only moves forward.
 type Version struct {
 	Epoch    uint64 `json:"epoch" cbor:"1,keyasint"`
