Draw a candidate's timeout at random, and stand back from a lost election

Cause: a started candidate waited max(drawn, 14 ticks), and what a started member draws is always below 14. The timeout was the same for all.

A candidate's timeout is drawn from a whole election timeout again, and one that can no longer win stands back and canvasses anew at a time drawn as widely, so that a split costs some hundred milliseconds.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -55,9 +55,10 @@
 // elect asks for the votes of a new term, its own included.
 func (c *core) elect() {
 	c.role = candidate
-	c.resetTimeout()
-	// The votes of a term wait for a sync at each member.
-	c.timeout = max(c.timeout, c.timing.Election)
+	// The votes of a term wait for a sync at each member, so that a candidate waits
+	// in full even if it is newly started.
+	c.elapsed = 0
+	c.timeout = c.timing.Election + c.random.IntN(c.timing.Election)
 	c.votes = map[MemberID]bool{}
 	c.heardRound = 0
 	c.setState(hardState{Term: c.state.Term + 1, Vote: c.self.ID})
@@ -134,9 +135,30 @@
 }
 
 func (c *core) handleVoteReply(m Message) {
-	if c.role == candidate {
-		c.countVote(m.From, !m.Reject)
+	if c.role != candidate {
+		return
 	}
+	c.countVote(m.From, !m.Reject)
+	if c.role == candidate && !c.membership().isQuorum(c.mayVote) {
+		c.standBack()
+	}
+}
+
+// mayVote reports whether a member has not refused this candidate.
+func (c *core) mayVote(id MemberID) bool {
+	granted, answered := c.votes[id]
+	return granted || !answered
+}
+
+// standBack ends an election that cannot be won any more. Candidates that split
+// the votes wait for times spread over a whole election timeout, so that they
+// hardly meet again.
+func (c *core) standBack() {
+	c.closeBallot()
+	c.role = follower
+	c.votes = nil
+	c.elapsed = 0
+	c.timeout = 1 + c.random.IntN(c.timing.Election)
 }
 
 func (c *core) countVote(from MemberID, granted bool) {
