Ask control hosts again after silence, and compare changes on each feed

Cause: after a long cut both sides take each other for lost. A lost host was called one at a time, in turns of 5 s, and the first answer began a merge of statements of hosts, which went before changes over one link at a time. A feed sent only what was committed after it was made, and dropped the rest after five failures. Control hosts' own word was heard every 10 s, so no host could tell that it was out of touch.

Entry hosts ask a control host for the confirmed state, as after a start, once they have heard none for 1.5 s; feeds beat every second, compare the changes at both ends and send what lacks; changes are fetched before statements by hosts that serve; a lost host that answers is called next.

--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -104,6 +104,7 @@
 		return nil, err
 	}
 	if l.peer.Only {
+		n.reconcile(now, l, r, resp)
 		return news, nil
 	}
 	n.compare(now, l, r, resp)
@@ -127,10 +128,46 @@
 	}
 }
 
-// fetchOrder puts hosts first: a host that knows only its seeds finds more peers
-// to share the work of its catch-up.
-var fetchOrder = [comparedKinds]mustardramp.RecordKind{
-	mustardramp.RecordHost, mustardramp.RecordChange, mustardramp.RecordBackend,
+// reconcile sends a fed host the changes that it lacks: those that were committed
+// before the link was, and those that the link lost.
+func (n *Node) reconcile(now time.Time, l *peerLink, r *Request, resp *Response) {
+	const kind = mustardramp.RecordChange
+	if n.Sums()[kind] == resp.Sums[kind] {
+		l.differs[kind] = 0
+		return
+	}
+	if l.calls > 0 || l.out.holds(kind) {
+		// What it lacks may be on its way.
+		return
+	}
+	if !r.Compare {
+		l.differs[kind]++
+		l.idle = earlier(l.idle, now.Add(recheck))
+		return
+	}
+	l.differs[kind] = 0
+	for _, id := range n.store.ids(kind, n.mask(kind, resp.Buckets[kind]), 0, true) {
+		l.out.put(ref{kind, id}, outItem{due: now, wanted: true})
+	}
+}
+
+// The orders in which differing kinds are fetched. A started host that knows only
+// its seeds finds more peers first, to share the work of its catch-up. One that
+// serves has peers, and its callers wait for changes.
+var (
+	startOrder = [comparedKinds]mustardramp.RecordKind{
+		mustardramp.RecordHost, mustardramp.RecordChange, mustardramp.RecordBackend,
+	}
+	serveOrder = [comparedKinds]mustardramp.RecordKind{
+		mustardramp.RecordChange, mustardramp.RecordBackend, mustardramp.RecordHost,
+	}
+)
+
+func (n *Node) fetchOrder() [comparedKinds]mustardramp.RecordKind {
+	if n.Ready() {
+		return serveOrder
+	}
+	return startOrder
 }
 
 // compare counts differing digests, and starts to fetch from the first bucket
@@ -147,7 +184,7 @@
 	if !r.Compare {
 		return
 	}
-	for _, k := range fetchOrder {
+	for _, k := range n.fetchOrder() {
 		if mask := n.mask(k, resp.Buckets[k]); mask != 0 {
 			l.fetch = n.newFetch(k, mask, 0, true)
 			n.caughtUp = append(n.caughtUp, CatchUp{From: l.peer.Name, Kind: k})
--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -3,21 +3,19 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp/internal/link"
-	"github.com/mustardramp/mustardramp/internal/membership"
 )
 
-// stateTime bounds one question for the present state: a started host then asks
-// another control host.
+// stateTime bounds one question for the present state: the host then asks another
+// control host.
 const stateTime = 500 * time.Millisecond
 
-// askPause is the pause between two questions of a started host for the present
-// state: it refuses all requests until it knows it.
+// askPause is the pause between two questions for the present state: a started
+// host refuses all requests until it knows it.
 const askPause = 150 * time.Millisecond
 
 // confirmedState is what a quorum confirmed. Records holds what a started host
@@ -36,13 +34,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	reply := confirmedState{State: e.core.Node.State()}
-	if reply.State == theirs {
-		return reply, nil
-	}
-	var err error
-	reply.Records, err = e.core.Node.packStart()
-	return reply, err
+	return e.core.Node.stateFor(theirs)
 }
 
 // confirmLog keeps up the readiness of a control host.
@@ -64,52 +56,50 @@
 	}
 }
 
-// confirmFromControl asks control hosts in turn for the confirmed state until
-// this host is ready.
-func (e *Exchange) confirmFromControl(ctx context.Context) error {
-	for turn := 0; !e.Ready(); turn++ {
-		if control := e.controlAddresses(); len(control) > 0 {
-			e.confirmFrom(ctx, control[turn%len(control)])
+// inquire asks control hosts in turn for the confirmed state, as the core
+// decides.
+func (e *Exchange) inquire(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		control, next := e.core.Inquire(e.now())
+		e.mu.Unlock()
+		if control.IsValid() {
+			e.confirmFrom(ctx, control)
 		}
-		if !sleep(ctx, askPause) {
+		if !sleep(ctx, next.Sub(e.now())) {
 			return ctx.Err()
 		}
 	}
-	klog.InfoS("configuration-current", "index", e.State().Newest)
-	return nil
-}
-
-// controlAddresses lists the control hosts that are known and the seeds, which
-// may be the only way to one after a start.
-func (e *Exchange) controlAddresses() []netip.AddrPort {
-	e.mu.Lock()
-	out := slices.Clone(e.options.Seeds)
-	e.mu.Unlock()
-	for _, m := range e.Members() {
-		if m.Host.Role == membership.Control && m.Standing != membership.Lost && !slices.Contains(out, m.Host.Address) {
-			out = append(out, m.Host.Address)
-		}
-	}
-	return out
 }
 
 func (e *Exchange) confirmFrom(ctx context.Context, control netip.AddrPort) {
 	client := &link.Client{Address: control, TLS: e.options.TLS, Timeout: stateTime}
 	defer func() { _ = client.Close() }()
 	reply, err := link.Call[confirmedState](ctx, client, methodState, e.State())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wasReady, unheard := e.core.Node.Ready(), e.core.Unheard(e.now())
 	if err != nil {
 		klog.V(1).InfoS("quorum-read-failed", "host", control, "cause", err)
+		if wasReady && !e.unheard {
+			e.unheard = true
+			klog.InfoS("control-unheard", "ms", unheard.Milliseconds(), "asked", control, "cause", err)
+		}
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	records, err := e.core.Node.unpackStart(reply.Records)
+	news, err := e.core.Told(e.now(), control, reply)
 	if err != nil {
 		klog.ErrorS(err, "response-unreadable", "peer", control)
 		return
 	}
-	e.took(e.core.Offer(e.now(), records...))
-	e.core.Node.Confirm(reply.State)
+	e.took(news)
+	if !wasReady && e.core.Node.Ready() {
+		klog.InfoS("configuration-current", "index", e.core.Node.Newest())
+	}
+	if e.unheard || len(news) > 0 && wasReady {
+		e.unheard = false
+		klog.InfoS("control-heard-again", "ms", unheard.Milliseconds(), "host", control, "index", e.core.Node.Newest(), "news", len(news))
+	}
 }
 
 // sleep waits, and reports false when the context ended first.
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -18,6 +18,8 @@
 	Members *membership.Members
 	// Seeds are called while no other host is known.
 	Seeds []netip.AddrPort
+	// contact is that of an entry host with control hosts.
+	contact contact
 }
 
 // NewCore returns a core that has offered the host's own statement.
@@ -39,11 +41,17 @@
 // Answer takes in a peer's request.
 func (c *Core) Answer(now time.Time, r *Request) (*Response, []mustardramp.Record, error) {
 	resp, news, err := c.Node.Answer(now, r)
+	if c.Members.IsControl(r.From) {
+		c.contact.hear(now)
+	}
 	return resp, c.learn(now, news), err
 }
 
 // Done takes in the response to a request.
 func (c *Core) Done(now time.Time, s Send, resp *Response) ([]mustardramp.Record, error) {
+	if s.To.Control {
+		c.contact.hear(now)
+	}
 	news, err := c.Node.Done(now, s.To.Name, s.Request, resp)
 	news = c.learn(now, news)
 	return append(news, c.Offer(now, c.Members.Heard(now, s.To.Name)...)...), err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -64,6 +64,8 @@
 	closed map[mustardramp.Distance]Usage
 	// called is the lost host that is called at present, or none.
 	called mustardramp.HostName
+	// unheard is true while control hosts are asked and none answers.
+	unheard bool
 	// short is true while the budget holds catch-ups back.
 	short bool
 
@@ -107,7 +109,7 @@
 	if e.options.Log != nil {
 		group.Go(func() error { return e.confirmLog(ctx) })
 	} else {
-		group.Go(func() error { return e.confirmFromControl(ctx) })
+		group.Go(func() error { return e.inquire(ctx) })
 	}
 	err := group.Wait()
 	e.closeLinks()
@@ -163,7 +165,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.core.Seeds = seeds
-	e.options.Seeds = seeds
 }
 
 // Drain tells the fleet that this host leaves.
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -1,8 +1,12 @@
 package exchange
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/mustardramp/mustardramp/internal/membership"
 )
 
 // TestStormOverBusyLinks replays a storm of changes while uploads fill the
@@ -56,3 +60,49 @@
 		}
 	}
 }
+
+// TestFedHostLacksAnOlderChange has a change committed before the link to a fed
+// host was made: the heartbeats must bring it.
+func TestFedHostLacksAnOlderChange(t *testing.T) {
+	const bound = time.Second
+	control, entry := NewNode("control", 1, controlRate), NewNode("entry", 2, 0)
+	for i := range uint64(3) {
+		control.Offer(start, change(fmt.Sprint("service-", i), i+1, 3000))
+	}
+	entry.Offer(start, change("service-0", 1, 3000))
+	control.SetLinks(start, []Peer{{Name: "entry", Address: address(1), Fed: true, Only: true}})
+	for now := start; now.Sub(start) < bound; now = now.Add(batchPause) {
+		sends, _ := control.Poll(now)
+		for _, s := range sends {
+			resp, _, err := entry.Answer(now, s.Request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := control.Done(now, s.To.Name, s.Request, resp); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if got, want := entry.State(), control.State(); got != want {
+		t.Errorf("got %v after %v, want %v", got, bound, want)
+	}
+}
+
+// TestUnfedHostAsksLessOften has answers that bring nothing new: in a fleet that
+// control hosts feed a part of, the others must not ask all the time.
+func TestUnfedHostAsksLessOften(t *testing.T) {
+	c := NewCore(start, self(9, membership.Entry), []netip.AddrPort{address(0)}, 0)
+	c.Node.SetConfirmed(true)
+	asked := 0
+	for now := start; now.Sub(start) < time.Minute; now = now.Add(askPause) {
+		if control, _ := c.Inquire(now); control.IsValid() {
+			asked++
+			if _, err := c.Told(now, control, confirmedState{State: c.Node.State()}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if asked < 4 || asked > 8 {
+		t.Errorf("got %d questions in a minute, want 4 to 8", asked)
+	}
+}
--- a/internal/exchange/mesh_test.go
+++ b/internal/exchange/mesh_test.go
@@ -137,9 +137,48 @@
 	delete(m.down, self.Name)
 	m.wake(self.Name)
 	m.step(self.Name, c)
+	if self.Role == membership.Entry && m.controls > 0 {
+		m.inquire(self.Name, c)
+	}
 	return c
 }
 
+// inquire lets an entry host ask control hosts for the present state.
+func (m *mesh) inquire(host mustardramp.HostName, c *Core) {
+	if m.nodes[host] != c {
+		return
+	}
+	address, next := c.Inquire(m.now)
+	again := func() { m.inquire(host, c) }
+	to := m.addresses[address]
+	switch {
+	case m.down[host] || !address.IsValid():
+		m.after(next.Sub(m.now), again)
+	case !m.passes(host, to) || !m.passes(to, host) || 2*m.oneWay >= stateTime:
+		m.after(stateTime+askPause, again)
+	default:
+		state := c.Node.State()
+		m.after(m.oneWay, func() { m.tell(host, c, to, state) })
+		m.after(2*m.oneWay+askPause, again)
+	}
+}
+
+// tell carries a control host's answer back.
+func (m *mesh) tell(host mustardramp.HostName, c *Core, from mustardramp.HostName, theirs State) {
+	state, err := m.nodes[from].Node.stateFor(theirs)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	address := m.nodes[from].Members.Self().Address
+	m.after(m.oneWay, func() {
+		news, err := c.Told(m.now, address, state)
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		m.deliver(host, news)
+	})
+}
+
 // step lets a host judge the fleet now and then.
 func (m *mesh) step(host mustardramp.HostName, c *Core) {
 	if m.nodes[host] != c {
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -12,9 +12,10 @@
 const (
 	// heartbeat is the pause after which an idle link is used.
 	heartbeat = time.Second
-	// feedHeartbeat is that of a link that carries changes only: it keeps the
-	// connection known to be good, and no host is judged by it.
-	feedHeartbeat = 10 * time.Second
+	// feedHeartbeat is that of a link that carries changes only: it compares the
+	// changes at both ends and shows the fed host that control reaches it. No host
+	// is judged by it.
+	feedHeartbeat = time.Second
 	// feedCalls is the number of changes that may be under way to one fed host: on
 	// the grown deployments changes come every quarter of a second, and an answer
 	// takes up to a second.
@@ -182,8 +183,8 @@
 func newPeerLink(now time.Time, p Peer) *peerLink {
 	l := &peerLink{peer: p, at: now, idle: now, fresh: true}
 	if p.Only {
-		// It has nothing to compare.
-		l.idle, l.fresh = now.Add(feedHeartbeat), false
+		// Its heartbeats compare changes alone.
+		l.fresh = false
 	}
 	return l
 }
@@ -345,8 +346,10 @@
 func (n *Node) request(now time.Time, l *peerLink) *Request {
 	r := &Request{From: n.name, Ready: n.ready.is, Sums: n.Sums(), Fetch: l.fetch}
 	heartbeatDue := !l.idle.After(now)
-	r.Compare = n.fetcher == nil && heartbeatDue && l.suspicious() && !l.peer.Only
-	if r.Compare {
+	if l.peer.Only {
+		r.Compare = heartbeatDue && l.differs[mustardramp.RecordChange] > 0
+	} else if n.fetcher == nil && heartbeatDue && l.suspicious() {
+		r.Compare = true
 		n.fetcher = l
 	}
 	n.fill(now, l, r)
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -87,6 +88,8 @@
 	// silent is since when calls from here fail, missed when the last one did.
 	silent time.Time
 	missed time.Time
+	// echoed is when a call from here was last answered.
+	echoed time.Time
 }
 
 // New returns a view that holds the host itself. Its incarnation must be
@@ -246,7 +249,7 @@
 	if e == nil {
 		return nil
 	}
-	e.silent = time.Time{}
+	e.silent, e.echoed = time.Time{}, now
 	delete(m.probes, host)
 	if _, doubted := e.doubts[m.self.Name]; !doubted {
 		return nil
@@ -307,6 +310,26 @@
 	return gone
 }
 
+// IsControl reports whether a host is known as a control host.
+func (m *Members) IsControl(host mustardramp.HostName) bool {
+	e := m.members[host]
+	return e != nil && e.Host.Role == Control
+}
+
+// At returns the host that answers at an address, the newest start first.
+func (m *Members) At(address netip.AddrPort) (mustardramp.HostName, bool) {
+	var found *member
+	for _, e := range m.members {
+		if e.Host.Address == address && (found == nil || e.Host.Incarnation > found.Host.Incarnation) {
+			found = e
+		}
+	}
+	if found == nil {
+		return "", false
+	}
+	return found.Host.Name, true
+}
+
 // Turned returns the hosts whose standing has changed since the last call.
 func (m *Members) Turned() []Member {
 	turned := m.turned
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -203,6 +203,10 @@
 		if e.Standing != Lost {
 			continue
 		}
+		if !e.echoed.IsZero() && now.Sub(e.echoed) < rejoinPause {
+			// It answers: what this side knows brings it back.
+			return name
+		}
 		s := score(string(m.self.Name), string(name)) ^ xxhash.Sum64String(time.Duration(turn).String())
 		if chosen == "" || s < lowest {
 			chosen, lowest = name, s
