Ask the nearest control host first; begin a feed's heartbeats after a second

Cause: the first version asked known control hosts by name, and compared changes at once on each new feed, so that a started host could be sent the same changes by every control host that had not heard of a nearer one.

--- a/internal/exchange/contact.go
+++ b/internal/exchange/contact.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -39,7 +40,7 @@
 
 // answered takes in the present state.
 func (c *contact) answered(now time.Time, isNews bool) {
-	c.heard = now
+	c.heard, c.turn = now, 0
 	c.pause = min(2*max(c.pause, contactTime), mostContactTime)
 	if isNews {
 		c.pause = contactTime
@@ -66,24 +67,28 @@
 		return netip.AddrPort{}, c.contact.next
 	}
 	c.contact.turn++
-	return hosts[c.contact.turn%len(hosts)], c.contact.next
+	return hosts[(c.contact.turn-1)%len(hosts)], c.contact.next
 }
 
-// controlHosts lists the control hosts that are known, those that are taken for
-// lost last: after a cut all of them are. The seeds may be the only way to one
-// after a start.
+// controlHosts lists the control hosts that are known, nearest first, and those
+// that are taken for lost last: after a cut all of them are. The seeds may be the
+// only way to one after a start.
 func (c *Core) controlHosts() []netip.AddrPort {
-	var alive, lost []netip.AddrPort
-	for _, m := range c.Members.List() {
+	self := c.Members.Self().Place
+	members := c.Members.List()
+	slices.SortStableFunc(members, func(a, b membership.Member) int {
+		return cmp.Compare(self.To(a.Host.Place), self.To(b.Host.Place))
+	})
+	var all, lost []netip.AddrPort
+	for _, m := range members {
 		switch {
 		case m.Host.Role != membership.Control:
 		case m.Standing == membership.Lost:
 			lost = append(lost, m.Host.Address)
 		default:
-			alive = append(alive, m.Host.Address)
+			all = append(all, m.Host.Address)
 		}
 	}
-	all := alive
 	for _, address := range append(slices.Clone(c.Seeds), lost...) {
 		if !slices.Contains(all, address) {
 			all = append(all, address)
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -64,7 +64,7 @@
 // TestFedHostLacksAnOlderChange has a change committed before the link to a fed
 // host was made: the heartbeats must bring it.
 func TestFedHostLacksAnOlderChange(t *testing.T) {
-	const bound = time.Second
+	const bound = changeBound
 	control, entry := NewNode("control", 1, controlRate), NewNode("entry", 2, 0)
 	for i := range uint64(3) {
 		control.Offer(start, change(fmt.Sprint("service-", i), i+1, 3000))
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -183,8 +183,9 @@
 func newPeerLink(now time.Time, p Peer) *peerLink {
 	l := &peerLink{peer: p, at: now, idle: now, fresh: true}
 	if p.Only {
-		// Its heartbeats compare changes alone.
-		l.fresh = false
+		// Its heartbeats compare changes alone. Until the first one a started host has
+		// asked for them itself, and the nearest control host is known.
+		l.idle, l.fresh = now.Add(feedHeartbeat), false
 	}
 	return l
 }
