--- a/internal/pool/belief_test.go
+++ b/internal/pool/belief_test.go
@@ -8,58 +8,80 @@
 	"github.com/mustardramp/mustardramp"
 )
 
-// illness replays the load of the platform's quiet days: each backend falls ill
-// by turns, and then fails three of four attempts at once.
+// illness is a world in which each backend falls ill by turns, and then fails a
+// part of its attempts at once.
 type illness struct {
-	random *rand.Rand
-	until  []time.Time
-	ill    []bool
+	// ill and well are the mean lengths of the turns, fails the share of attempts
+	// that fail while a backend is ill.
+	ill, well time.Duration
+	fails     float64
 }
 
-func newIllness(n int, random *rand.Rand) *illness {
-	return &illness{random: random, until: make([]time.Time, n), ill: make([]bool, n)}
+// quietDays is the illness of the platform's quiet days.
+var quietDays = illness{ill: 7 * time.Second, well: 16 * time.Second, fails: illFails}
+
+// turns are the states of the backends in a replay.
+type turns struct {
+	illness
+	random *rand.Rand
+	until  []time.Time
+	isIll  []bool
 }
 
-// isIll moves a backend's state on to a time. Turns last as the trace shows:
-// ill ones 7 s and well ones 16 s in the mean.
-func (w *illness) isIll(i int, now time.Time) bool {
+// at moves a backend's state on to a time and reports whether it is ill.
+func (w *turns) at(i int, now time.Time) bool {
 	for !now.Before(w.until[i]) {
-		w.ill[i] = w.until[i].IsZero() && w.random.Float64() < illShare || !w.until[i].IsZero() && !w.ill[i]
-		span := 7 * time.Second
-		if !w.ill[i] {
-			span = 16 * time.Second
+		first := w.until[i].IsZero()
+		share := float64(w.ill) / float64(w.ill+w.well)
+		w.isIll[i] = first && w.random.Float64() < share || !first && !w.isIll[i]
+		span := w.illness.ill
+		if !w.isIll[i] {
+			span = w.illness.well
 		}
-		if w.until[i].IsZero() {
+		if first {
 			w.until[i] = now
 		}
 		w.until[i] = w.until[i].Add(time.Duration(w.random.ExpFloat64() * float64(span)))
 	}
-	return w.ill[i]
+	return w.isIll[i]
 }
 
-// replayed are the shares of a replay's attempts.
+// scene is the load of a replay.
+type scene struct {
+	illness   illness
+	backends  int
+	perSecond float64
+	// partitioned is how many of the backends cannot be reached by some hosts.
+	partitioned int
+}
+
+// replayed is what a replay showed.
 type replayed struct {
-	// failed are those that failed, risky those that were sent to a backend
-	// that was likely to be ill.
+	// failed are the shares of attempts that failed, risky those that were sent to a
+	// backend that was likely to be ill.
 	failed, risky float64
+	// sent and ended are the times of the attempts, and of the failures, by backend.
+	sent, ended [][]time.Time
 }
 
 // unreachable is how often a dial of a partitioned backend fails: some of the
 // hosts cannot reach it.
 const unreachable = 0.3
 
-// replay sends the attempts of a minute. The first backends, as many as
-// partitioned says, cannot be reached by some hosts.
-func replay(strategy Strategy, flat bool, backends, partitioned int, perSecond float64, seed uint64) replayed {
+// replayTime is the length of a replay.
+const replayTime = time.Minute
+
+// replay sends the attempts of a scene.
+func replay(strategy Strategy, flat bool, s scene, seed uint64) replayed {
 	random := rand.New(rand.NewPCG(seed, 7))
 	core := NewCore(Config{Terms: terms(), Strategy: strategy, Flat: flat, Seed: seed})
 	var standings []mustardramp.Standing
-	for i := range backends {
+	for i := range s.backends {
 		standings = append(standings, serving(i, mustardramp.Place{}, 6))
 	}
-	now := time.Unix(1_000_000, 0)
+	now := start
 	core.Update(now, standings)
-	world := newIllness(backends, random)
+	world := &turns{illness: s.illness, random: random, until: make([]time.Time, s.backends), isIll: make([]bool, s.backends)}
 	index := map[mustardramp.BackendID]int{}
 	for i := range standings {
 		index[standings[i].Backend.ID] = i
@@ -73,10 +95,11 @@
 		lost bool
 	}
 	var flights []flight
+	out := replayed{sent: make([][]time.Time, s.backends), ended: make([][]time.Time, s.backends)}
 	attempts, failed, risky := 0, 0, 0
-	end := now.Add(time.Minute)
+	end := now.Add(replayTime)
 	for now.Before(end) {
-		now = now.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+		now = now.Add(time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)))
 		kept := flights[:0]
 		for _, f := range flights {
 			if f.ends.After(now) {
@@ -100,25 +123,29 @@
 			}
 			continue
 		}
-		if index[lease.Backend().ID] < partitioned && random.Float64() < unreachable {
+		i := index[lease.Backend().ID]
+		if i < s.partitioned && random.Float64() < unreachable {
 			flights = append(flights, flight{lease: lease, began: now, ends: now.Add(5 * time.Millisecond), lost: true})
 			continue
 		}
 		attempts++
+		out.sent[i] = append(out.sent[i], now)
 		if lease.member.risk(now.UnixNano()) >= mostRiskTaken {
 			risky++
 		}
 		work := time.Duration((0.3 + 0.4*random.Float64()) * float64(time.Second))
 		bad := random.Float64() < wellFails
-		if world.isIll(index[lease.Backend().ID], now) && random.Float64() < illFails {
+		if world.at(i, now) && random.Float64() < s.illness.fails {
 			bad, work = true, time.Millisecond
 		}
 		if bad {
 			failed++
+			out.ended[i] = append(out.ended[i], now.Add(work))
 		}
 		flights = append(flights, flight{lease: lease, began: now, ends: now.Add(work), bad: bad})
 	}
-	return replayed{float64(failed) / float64(attempts), float64(risky) / float64(attempts)}
+	out.failed, out.risky = float64(failed)/float64(attempts), float64(risky)/float64(attempts)
+	return out
 }
 
 // TestSoundestAvoidsTheIll replays the attempts at mohor in one region: 11
@@ -134,8 +161,9 @@
 	)
 	var careful, plain float64
 	for seed := range uint64(seeds) {
-		careful += replay(Soundest{}, true, backends, 0, perSecond, seed).failed / seeds
-		plain += replay(LeastFilled{}, false, backends, 0, perSecond, seed).failed / seeds
+		s := scene{illness: quietDays, backends: backends, perSecond: perSecond}
+		careful += replay(Soundest{}, true, s, seed).failed / seeds
+		plain += replay(LeastFilled{}, false, s, seed).failed / seeds
 	}
 	most := wellFails + 2*backends/(turn*perSecond)
 	if careful > most || plain <= most {
@@ -151,21 +179,18 @@
 		seeds = 20
 		most  = 0.001
 	)
-	tests := map[string]struct {
-		backends, partitioned int
-		perSecond             float64
-	}{
-		"mohor, one region":               {11, 0, 25},
-		"mohor, some paths cut":           {11, 4, 25},
-		"tildeling, some paths cut":       {8, 3, 30},
-		"tildeling grown, one of 3 parts": {22, 9, 51},
-		"patha grown, one of 2 parts":     {18, 0, 60},
+	tests := map[string]scene{
+		"mohor, one region":               {quietDays, 11, 25, 0},
+		"mohor, some paths cut":           {quietDays, 11, 25, 4},
+		"tildeling, some paths cut":       {quietDays, 8, 30, 3},
+		"tildeling grown, one of 3 parts": {quietDays, 22, 51, 9},
+		"patha grown, one of 2 parts":     {quietDays, 18, 60, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var risky float64
 			for seed := range uint64(seeds) {
-				risky += replay(Soundest{}, true, test.backends, test.partitioned, test.perSecond, seed).risky / seeds
+				risky += replay(Soundest{}, true, test, seed).risky / seeds
 			}
 			if risky > most {
 				t.Errorf("got %.4f of the attempts at backends likely to be ill, want at most %v", risky, most)
--- a/internal/pool/floor_test.go
+++ b/internal/pool/floor_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -52,3 +53,58 @@
 		t.Errorf("got %d of %d backends used in two seconds, want at least %d", len(used), backends, floor)
 	}
 }
+
+// TestSoundBackendsAreLeftUnused guards the floor in every 2 s: of the backends
+// that have not failed for 2 s, seven in ten get requests, whatever fails.
+func TestSoundBackendsAreLeftUnused(t *testing.T) {
+	const (
+		seeds = 10
+		floor = 0.7
+		span  = 2 * time.Second
+		step  = 250 * time.Millisecond
+	)
+	tests := map[string]scene{
+		"mohor, one region":  {illness: quietDays, backends: 11, perSecond: 44},
+		"most room unused":   {illness: quietDays, backends: 11, perSecond: 25},
+		"tildeling":          {illness: quietDays, backends: 8, perSecond: 50},
+		"illness is rare":    {illness: illness{ill: 7 * time.Second, well: 2 * time.Minute, fails: illFails}, backends: 11, perSecond: 44},
+		"illness is short":   {illness: illness{ill: 2 * time.Second, well: 16 * time.Second, fails: illFails}, backends: 11, perSecond: 44},
+		"illness is long":    {illness: illness{ill: 30 * time.Second, well: time.Minute, fails: 1}, backends: 11, perSecond: 44},
+		"illness is mild":    {illness: illness{ill: 7 * time.Second, well: 16 * time.Second, fails: 0.3}, backends: 11, perSecond: 44},
+		"a larger service":   {illness: quietDays, backends: 22, perSecond: 90},
+		"nobody is ever ill": {illness: illness{ill: time.Nanosecond, well: time.Hour}, backends: 11, perSecond: 44},
+	}
+	for name, s := range tests {
+		t.Run(name, func(t *testing.T) {
+			windows, low := 0, 0
+			for seed := range uint64(seeds) {
+				r := replay(Soundest{}, true, s, seed)
+				for w := start.Add(2 * span); w.Add(span).Before(start.Add(replayTime)); w = w.Add(step) {
+					sound, used := 0, 0
+					for i := range s.backends {
+						if within(r.ended[i], w.Add(-span), w) {
+							continue
+						}
+						sound++
+						if within(r.sent[i], w, w.Add(span)) {
+							used++
+						}
+					}
+					windows++
+					if float64(used) < floor*float64(sound) {
+						low++
+					}
+				}
+			}
+			if low > 0 {
+				t.Errorf("got fewer than %v of the sound backends used in %d of %d windows of %v, want none", floor, low, windows, span)
+			}
+		})
+	}
+}
+
+// within reports whether one of the times, in order, lies in a span.
+func within(times []time.Time, from, to time.Time) bool {
+	i, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	return i < len(times) && times[i].Before(to)
+}
