Give each usable backend an attempt within a second, or four after a failure

Cause: a choice by belief leaves alone what is a little less sure to be well, for as long as the others have room. After one good answer a backend's risk was 0.2 and grew back to 0.3, the share of ill backends that the figures assume, while the others stood at 0.02. The floor was kept only while a tenth of the attempts failed; a loss of power takes the work at once, and the backends were unused before it. Each keeper judged by its own share of failures.

The floor is bounded by time for each backend, whatever the belief and at each keeper: 1 s without an attempt, up to 4 s after a failure. TestSoundBackendsAre- LeftUnused failed in all nine scenes before, for 50 to 1,853 of 2,080 windows of 2 s; it judges as the deployments do: sound is what was not ill for 6 s and lost nothing by chance for 2 s.

TestSoundestAvoidsTheIll keeps its bound for the attempts that beliefs place, and has one for those of the floor: one before the belief is sure and one in each span.

--- a/internal/pool/belief_test.go
+++ b/internal/pool/belief_test.go
@@ -26,6 +26,7 @@
 	random *rand.Rand
 	until  []time.Time
 	isIll  []bool
+	spans  [][]span
 }
 
 // at moves a backend's state on to a time and reports whether it is ill.
@@ -34,14 +35,18 @@
 		first := w.until[i].IsZero()
 		share := float64(w.ill) / float64(w.ill+w.well)
 		w.isIll[i] = first && w.random.Float64() < share || !first && !w.isIll[i]
-		span := w.illness.ill
+		length := w.illness.ill
 		if !w.isIll[i] {
-			span = w.illness.well
+			length = w.illness.well
 		}
 		if first {
 			w.until[i] = now
 		}
-		w.until[i] = w.until[i].Add(time.Duration(w.random.ExpFloat64() * float64(span)))
+		from := w.until[i]
+		w.until[i] = from.Add(time.Duration(w.random.ExpFloat64() * float64(length)))
+		if w.isIll[i] {
+			w.spans[i] = append(w.spans[i], span{from, w.until[i]})
+		}
 	}
 	return w.isIll[i]
 }
@@ -57,13 +62,19 @@
 
 // replayed is what a replay showed.
 type replayed struct {
-	// failed are the shares of attempts that failed, risky those that were sent to a
-	// backend that was likely to be ill.
-	failed, risky float64
-	// sent and ended are the times of the attempts, and of the failures, by backend.
-	sent, ended [][]time.Time
+	// failed are the shares of attempts that failed, checks those among them that
+	// keep the floor in use, risky those that were sent to a backend that was likely
+	// to be ill.
+	failed, checks, risky float64
+	// sent and lost are the times of the attempts and of the failures by backend, ill
+	// the spans in which one was ill.
+	sent, lost [][]time.Time
+	ill        [][]span
 }
 
+// span is a time from one moment to another.
+type span struct{ from, to time.Time }
+
 // unreachable is how often a dial of a partitioned backend fails: some of the
 // hosts cannot reach it.
 const unreachable = 0.3
@@ -81,7 +92,10 @@
 	}
 	now := start
 	core.Update(now, standings)
-	world := &turns{illness: s.illness, random: random, until: make([]time.Time, s.backends), isIll: make([]bool, s.backends)}
+	world := &turns{
+		illness: s.illness, random: random, until: make([]time.Time, s.backends), isIll: make([]bool, s.backends),
+		spans: make([][]span, s.backends),
+	}
 	index := map[mustardramp.BackendID]int{}
 	for i := range standings {
 		index[standings[i].Backend.ID] = i
@@ -95,8 +109,8 @@
 		lost bool
 	}
 	var flights []flight
-	out := replayed{sent: make([][]time.Time, s.backends), ended: make([][]time.Time, s.backends)}
-	attempts, failed, risky := 0, 0, 0
+	out := replayed{sent: make([][]time.Time, s.backends), lost: make([][]time.Time, s.backends)}
+	attempts, failed, checks, risky := 0, 0, 0, 0
 	end := now.Add(replayTime)
 	for now.Before(end) {
 		now = now.Add(time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)))
@@ -140,34 +154,51 @@
 		}
 		if bad {
 			failed++
-			out.ended[i] = append(out.ended[i], now.Add(work))
+			if lease.check {
+				checks++
+			}
+			out.lost[i] = append(out.lost[i], now.Add(work))
 		}
 		flights = append(flights, flight{lease: lease, began: now, ends: now.Add(work), bad: bad})
 	}
-	out.failed, out.risky = float64(failed)/float64(attempts), float64(risky)/float64(attempts)
+	for i := range s.backends {
+		world.at(i, now)
+	}
+	out.ill = world.spans
+	out.failed, out.checks, out.risky = float64(failed)/float64(attempts), float64(checks)/float64(attempts), float64(risky)/float64(attempts)
 	return out
 }
 
 // TestSoundestAvoidsTheIll replays the attempts at mohor in one region: 11
 // backends, 25 requests a second. Beside the failures of well backends, each
-// turn of illness may cost two attempts: the first that fails, and one that was
-// under way or confirms it. A choice by fill alone must lose more.
+// turn of illness may cost two attempts that beliefs place: the first that fails,
+// and one that was under way or confirms it. The floor may cost one more before
+// the belief is sure and one in each doubtSpan of the turn. A choice by fill alone
+// must lose more.
 func TestSoundestAvoidsTheIll(t *testing.T) {
 	const (
 		seeds     = 10
 		backends  = 11
 		perSecond = 25.0
+		ill       = 7      // seconds of a turn
 		turn      = 16 + 7 // seconds
+		mostPlain = wellFails + 2*backends/(turn*perSecond)
 	)
-	var careful, plain float64
+	// Those that are good by chance are followed by another within freshSpan.
+	mostChecks := illFails * (2 - illFails) * (1 + ill/doubtSpan.Seconds()) * backends / (turn * perSecond)
+	var careful, checks, plain float64
 	for seed := range uint64(seeds) {
 		s := scene{illness: quietDays, backends: backends, perSecond: perSecond}
-		careful += replay(Soundest{}, true, s, seed).failed / seeds
+		r := replay(Soundest{}, true, s, seed)
+		careful += (r.failed - r.checks) / seeds
+		checks += r.checks / seeds
 		plain += replay(LeastFilled{}, false, s, seed).failed / seeds
 	}
-	most := wellFails + 2*backends/(turn*perSecond)
-	if careful > most || plain <= most {
-		t.Errorf("got %.3f failed, and %.3f by fill alone, want at most %.3f and more", careful, plain, most)
+	if careful > mostPlain || plain <= mostPlain+mostChecks {
+		t.Errorf("got %.3f failed, and %.3f by fill alone, want at most %.3f and more", careful, plain, mostPlain)
+	}
+	if checks > mostChecks {
+		t.Errorf("got %.3f failed that keep the floor in use, want at most %.3f", checks, mostChecks)
 	}
 }
 
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -72,8 +72,6 @@
 	terms    atomic.Pointer[Terms]
 	seed     uint64
 	rolls    atomic.Uint64
-	// failing is the share of the attempts that fail.
-	failing failing
 	// queued is the number of waiting tickets; while it is 0 no lock is taken.
 	queued atomic.Int64
 	// usual is the moving mean latency of good answers in nanoseconds.
@@ -115,7 +113,7 @@
 func (c *Core) Update(now time.Time, standings []mustardramp.Standing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := build(c.view.Load(), c.distance, &c.usual, standings)
+	v := build(now, c.view.Load(), c.distance, &c.usual, standings)
 	if c.flat {
 		v.each(func(m *member) { m.transit = &c.transit })
 	}
@@ -150,13 +148,8 @@
 func (c *Core) Finish(now time.Time, lease Lease, result mustardramp.Result, latency time.Duration) Turn {
 	lease.member.flights.end(lease.granted.UnixNano())
 	turn := Turn{Before: lease.member.belief.at(now.UnixNano())}
-	shown := lease.member.leave(result, latency, now)
+	lease.member.leave(result, latency, now)
 	turn.After = lease.member.belief.at(now.UnixNano())
-	if !lease.check {
-		// The floor is kept up while the work that beliefs place fails: what its
-		// own attempts show would keep it up for good.
-		c.failing.observe(shown)
-	}
 	if result == mustardramp.ResultGood {
 		learn(&c.costs[lease.rank], now.Sub(lease.granted))
 		c.transit.observe(now.Sub(lease.granted), latency)
--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -3,84 +3,56 @@
 import (
 	"math"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/mustardramp/mustardramp"
 )
 
+// A backend that gets no attempts is taken out of service as if it were ejected,
+// so the floor of ejection holds for it. Beliefs go by figures of illness that may
+// not fit a service; these spans bound how long they leave a backend alone.
 const (
-	// floorShare is the share of the usable backends that get work while much of
-	// it fails: the floor of both sites, 0.7, and a margin for small services.
-	floorShare = 0.75
-	// floorSpan is the time within which each of them gets an attempt; the floor
-	// is measured over 2 s.
-	floorSpan = 1500 * time.Millisecond
-	// floorFailing is the share of failed attempts from which the floor is kept
-	// up: the tenth from which the floor is measured. Below it the work is better
-	// off where it succeeds.
-	floorFailing = 0.1
-	// failingWeight is the weight of one outcome in the share that fails. While
-	// backends fall ill by turns 4 in 100 attempts fail, and a mean over fewer
-	// outcomes would often pass floorFailing by chance.
-	failingWeight = 1.0 / 48
+	// freshSpan is the time within which a usable backend gets its next attempt: half
+	// of the 2 s in which the deployments measure the floor.
+	freshSpan = time.Second
+	// doubtSpan is that for a backend that was sure to be ill when its last attempt
+	// failed: the 2 s after which the deployments count it as sound again, and the 2 s
+	// that follow.
+	doubtSpan = 4 * time.Second
 )
 
-// failing is the moving share of the attempts that fail. Its zero value is none.
-type failing struct {
-	// bits are those of a float64.
-	bits atomic.Uint64
-}
-
-func (f *failing) share() float64 {
-	return math.Float64frombits(f.bits.Load())
-}
-
-// observe takes in an outcome.
-func (f *failing) observe(s symptom) {
-	sample := 0.0
-	switch s {
-	case noSign, dialSign:
-		// A request whose dial failed goes elsewhere.
-		return
-	case sign:
-		sample = 1
-	}
-	for {
-		old := f.bits.Load()
-		share := math.Float64frombits(old)
-		if f.bits.CompareAndSwap(old, math.Float64bits(share+failingWeight*(sample-share))) {
-			return
-		}
-	}
-}
-
-// neglected returns the backend with room that has had no attempt for longest,
-// while much of the work fails and fewer backends than the floor have had one
-// lately; or nil. Beliefs may be wrong together: what looked ill may be well.
+// neglected returns the backend with room whose next attempt is most overdue, or
+// nil. It answers loads in which backends that are believed well have room for
+// all the work: what looked ill may be well, and only an attempt tells. A long
+// way makes an attempt less urgent, as it makes it dearer.
 func (c *Core) neglected(now time.Time, v *view, demand *mustardramp.Demand) *member {
-	if !c.flat || c.failing.share() < floorFailing {
+	if !c.flat {
 		return nil
 	}
+	choice := Choice{place: demand.Place, size: demand.Size}
 	at := now.UnixNano()
-	usable, used := 0, 0
-	var oldest *member
+	var found *member
+	most := 1.0
 	for _, tier := range v.tiers {
-		for _, m := range tier {
-			usable++
-			last := m.used.Load()
-			if at-last < int64(floorSpan) {
-				used++
+		choice.members = tier
+		for i, m := range tier {
+			overdue := m.overdue(at)
+			if overdue < most || !m.room(at) || m.isHung(at) || slices.Contains(demand.Tried, m.backend.ID) {
 				continue
 			}
-			free := m.room(at) && !slices.Contains(demand.Tried, m.backend.ID)
-			if free && (oldest == nil || last < oldest.used.Load()) {
-				oldest = m
+			if overdue /= 1 + choice.Way(i); overdue >= most {
+				found, most = m, overdue
 			}
 		}
 	}
-	if float64(used) >= floorShare*float64(usable) {
-		return nil
-	}
-	return oldest
+	return found
+}
+
+// overdue returns the time without an attempt, in parts of that within which the
+// member gets the next one: the more likely it was ill when its last attempt
+// failed, the longer.
+func (m *member) overdue(at int64) float64 {
+	doubt := math.Float64frombits(m.doubt.Load())
+	span := float64(freshSpan) + doubt*float64(doubtSpan-freshSpan)
+	return float64(at-max(m.used.Load(), m.known)) / span
 }
--- a/internal/pool/floor_test.go
+++ b/internal/pool/floor_test.go
@@ -55,13 +55,15 @@
 }
 
 // TestSoundBackendsAreLeftUnused guards the floor in every 2 s: of the backends
-// that have not failed for 2 s, seven in ten get requests, whatever fails.
+// that were not ill for 6 s and lost no request by chance for 2 s, as the
+// deployments count them, seven in ten get requests.
 func TestSoundBackendsAreLeftUnused(t *testing.T) {
 	const (
-		seeds = 10
-		floor = 0.7
-		span  = 2 * time.Second
-		step  = 250 * time.Millisecond
+		seeds  = 10
+		floor  = 0.7
+		window = 2 * time.Second
+		well   = 6 * time.Second
+		step   = 250 * time.Millisecond
 	)
 	tests := map[string]scene{
 		"mohor, one region":  {illness: quietDays, backends: 11, perSecond: 44},
@@ -79,14 +81,14 @@
 			windows, low := 0, 0
 			for seed := range uint64(seeds) {
 				r := replay(Soundest{}, true, s, seed)
-				for w := start.Add(2 * span); w.Add(span).Before(start.Add(replayTime)); w = w.Add(step) {
+				for w := start.Add(well); w.Add(window).Before(start.Add(replayTime)); w = w.Add(step) {
 					sound, used := 0, 0
 					for i := range s.backends {
-						if within(r.ended[i], w.Add(-span), w) {
+						if overlaps(r.ill[i], w.Add(-well), w.Add(window)) || within(r.lost[i], w.Add(-window), w.Add(window)) {
 							continue
 						}
 						sound++
-						if within(r.sent[i], w, w.Add(span)) {
+						if within(r.sent[i], w, w.Add(window)) {
 							used++
 						}
 					}
@@ -97,7 +99,7 @@
 				}
 			}
 			if low > 0 {
-				t.Errorf("got fewer than %v of the sound backends used in %d of %d windows of %v, want none", floor, low, windows, span)
+				t.Errorf("got fewer than %v of the sound backends used in %d of %d windows of %v, want none", floor, low, windows, window)
 			}
 		})
 	}
@@ -108,3 +110,8 @@
 	i, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
 	return i < len(times) && times[i].Before(to)
 }
+
+// overlaps reports whether one of the spans shares a moment with another.
+func overlaps(spans []span, from, to time.Time) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.from.Before(to) && s.to.After(from) })
+}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -45,10 +45,15 @@
 	flights flights
 	// used is the time of the last attempt in Unix nanoseconds, or 0.
 	used atomic.Int64
+	// known is since when the backend is known, in Unix nanoseconds.
+	known int64
+	// doubt holds the bits of a float64: the risk as of the last outcome that showed
+	// anything if it was bad, or 0.
+	doubt atomic.Uint64
 }
 
-func newLoad(ceiling int32) *load {
-	l := &load{}
+func newLoad(ceiling int32, known int64) *load {
+	l := &load{known: known}
 	l.limit.Store(math.Float64bits(float64(ceiling)))
 	return l
 }
@@ -115,8 +120,8 @@
 	}
 }
 
-// leave ends one attempt, learns from its result and returns what it shows.
-func (m *member) leave(result mustardramp.Result, latency time.Duration, now time.Time) symptom {
+// leave ends one attempt and learns from its result.
+func (m *member) leave(result mustardramp.Result, latency time.Duration, now time.Time) {
 	n := m.inFlight.Add(-1) + 1
 	switch result {
 	case mustardramp.ResultShed:
@@ -140,7 +145,12 @@
 		m.haunt(latency, now)
 	}
 	m.belief.observe(now.UnixNano(), shown)
-	return shown
+	switch shown {
+	case wellSign:
+		m.doubt.Store(0)
+	case sign, dialSign:
+		m.doubt.Store(math.Float64bits(m.belief.at(now.UnixNano())))
+	}
 }
 
 // symptom says what a result shows of the backend's health. An answer that took
@@ -182,12 +192,18 @@
 // been under way for too long raises it before it ends.
 func (m *member) risk(at int64) float64 {
 	risk := m.belief.at(at)
-	if oldest := m.flights.oldest(); oldest > 0 && m.isLate(time.Duration(at-oldest)) {
+	if m.isHung(at) {
 		return max(risk, hungRisk)
 	}
 	return risk
 }
 
+// isHung reports whether an attempt has been under way for too long.
+func (m *member) isHung(at int64) bool {
+	oldest := m.flights.oldest()
+	return oldest > 0 && m.isLate(time.Duration(at-oldest))
+}
+
 // haunt counts the time that a failed attempt left unused.
 func (m *member) haunt(latency time.Duration, now time.Time) {
 	usual := time.Duration(m.usual.Load())
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -31,14 +31,14 @@
 
 // build makes a view from standings, and keeps the loads of backends that the
 // old view knew.
-func build(old *view, place func(mustardramp.Place) mustardramp.Distance, usual *atomic.Int64, standings []mustardramp.Standing) *view {
+func build(now time.Time, old *view, place func(mustardramp.Place) mustardramp.Distance, usual *atomic.Int64, standings []mustardramp.Standing) *view {
 	loads := old.loads()
 	v := &view{}
 	for i := range standings {
 		s := &standings[i]
 		v.counts.add(s)
 		trial := s.Trial && s.Backend.State == mustardramp.Serving && !s.Avoided
-		m := newMember(s, trial, loads[s.Backend.ID])
+		m := newMember(now, s, trial, loads[s.Backend.ID])
 		m.usual = usual
 		switch {
 		case trial:
@@ -66,13 +66,13 @@
 	return 0
 }
 
-func newMember(s *mustardramp.Standing, trial bool, known *load) *member {
+func newMember(now time.Time, s *mustardramp.Standing, trial bool, known *load) *member {
 	ceiling := max(1, int32(float64(s.Backend.Slots)*s.Weight))
 	if trial {
 		ceiling = 1
 	}
 	if known == nil || known.incarnation != s.Backend.Incarnation {
-		known = newLoad(ceiling)
+		known = newLoad(ceiling, now.UnixNano())
 		known.incarnation = s.Backend.Incarnation
 	}
 	return &member{load: known, backend: s.Backend, ceiling: ceiling, trial: trial}
