End an attempt whose backend sends informational answers without end

Heads were bounded by 256 KiB and bodies by the stamp and the deadline already; answers of status 1xx were read and passed on until the deadline, at the cost of the host's processor. More than 16 of them end the attempt, as lost: nothing says whether the request ran.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -23,8 +23,13 @@
 	errTimeout = errs.New("no answer before the deadline")
 	errStall   = errs.New("no byte of the answer came in time")
 	errCut     = errs.New("the operator cut the requests in flight")
+	errHints   = errs.New("more informational answers than a backend may send")
 )
 
+// mostInformational bounds the answers of status 1xx before the answer itself: a
+// hint or two is usual, and each is passed on and read in full.
+const mostInformational = 16
+
 // watchedBody is the length in bytes up to which a body leaves at once.
 const watchedBody = 64 << 10
 
@@ -71,6 +76,8 @@
 	mu sync.Mutex
 	// headed is true once informational answers may not be passed on.
 	headed bool
+	// hints counts the informational answers.
+	hints int
 	// sentAt is when the whole request had left, or zero.
 	sentAt time.Time
 }
@@ -273,6 +280,9 @@
 func (a *attempt) informational(code int, header textproto.MIMEHeader) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.hints++; a.hints > mostInformational {
+		return errHints
+	}
 	if a.headed || code == http.StatusContinue || code == http.StatusSwitchingProtocols {
 		return nil
 	}
