Deliver a late parcel of an abandoned stream without giving up the present one

A parcel that its sender had given up and that arrived after newer ones made the receiver take its stream for the present one, and hold the parcels of the newer stream, whose numbers had passed, until 64 of them waited. Without a leader members send a few messages a second. Streams of one start are numbered in a row, so an earlier one is known, and what it brings is delivered at once. The new case of TestInletOrdersParcels failed before.

--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -158,6 +158,10 @@
 	}
 }
 
+// streamsPerStart bounds the streams of one start of a host, which are numbered in
+// a row from a random one.
+const streamsPerStart = 1 << 32
+
 // heldToLog is the number of held parcels from which they are logged, at each
 // doubling: parcels that travel side by side seldom pass more than a few others.
 const heldToLog = 4
@@ -170,9 +174,12 @@
 }
 
 // order returns the messages that are due now. A parcel that was given up and
-// comes late is due at once.
+// comes late is due at once, also one of an earlier stream.
 func (in *inlet) order(p parcel) []Message {
 	if p.Stream != in.stream {
+		if in.stream-p.Stream < streamsPerStart {
+			return p.Messages
+		}
 		*in = inlet{stream: p.Stream}
 	}
 	if p.Number < in.next {
--- a/internal/quorum/links_test.go
+++ b/internal/quorum/links_test.go
@@ -30,6 +30,14 @@
 			[]parcel{parcelOf(7, 0), parcelOf(7, 2), parcelOf(8, 0), parcelOf(8, 1)},
 			[]uint64{0, 0, 1},
 		},
+		"late parcel of a lost stream": {
+			[]parcel{parcelOf(8, 0), parcelOf(7, 5), parcelOf(8, 1)},
+			[]uint64{0, 5, 1},
+		},
+		"restarted host": {
+			[]parcel{parcelOf(1<<40, 0), parcelOf(8, 0), parcelOf(8, 1)},
+			[]uint64{0, 0, 1},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var in inlet
