Count only control hosts that a quorum confirms as contact

Found by reading the change: a host fed by a control host on the minority's side of a split would have taken itself for in touch, and not asked the others. The same class as a configuration late after a cut. TestIsolatedControlHostIsNoContact failed before for the isolated one.

--- a/internal/exchange/contact.go
+++ b/internal/exchange/contact.go
@@ -33,7 +33,7 @@
 	turn int
 }
 
-// hear takes in a word of a control host.
+// hear takes in a word of a control host that a quorum confirms.
 func (c *contact) hear(now time.Time) {
 	c.heard, c.pause = now, contactTime
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -41,7 +41,7 @@
 // Answer takes in a peer's request.
 func (c *Core) Answer(now time.Time, r *Request) (*Response, []mustardramp.Record, error) {
 	resp, news, err := c.Node.Answer(now, r)
-	if c.Members.IsControl(r.From) {
+	if r.Ready && c.Members.IsControl(r.From) {
 		c.contact.hear(now)
 	}
 	return resp, c.learn(now, news), err
@@ -49,7 +49,7 @@
 
 // Done takes in the response to a request.
 func (c *Core) Done(now time.Time, s Send, resp *Response) ([]mustardramp.Record, error) {
-	if s.To.Control {
+	if s.To.Control && resp.Ready {
 		c.contact.hear(now)
 	}
 	news, err := c.Node.Done(now, s.To.Name, s.Request, resp)
--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -106,3 +106,25 @@
 		t.Errorf("got %d questions in a minute, want 4 to 8", asked)
 	}
 }
+
+// TestIsolatedControlHostIsNoContact has a feed of a control host that no quorum
+// confirms: the host must ask another for what that one cannot know.
+func TestIsolatedControlHostIsNoContact(t *testing.T) {
+	for test, isReady := range map[string]bool{"confirmed": true, "isolated": false} {
+		t.Run(test, func(t *testing.T) {
+			control := NewCore(start, self(0, membership.Control), nil, 0)
+			c := NewCore(start, self(9, membership.Entry), []netip.AddrPort{address(0)}, 0)
+			c.Offer(start, control.Members.Statement())
+			c.Node.SetConfirmed(true)
+			for now := start.Add(batchPause); now.Sub(start) < 2*contactTime; now = now.Add(feedHeartbeat) {
+				if _, _, err := c.Answer(now, &Request{From: control.Members.Self().Name, Ready: isReady}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			asked, _ := c.Inquire(start.Add(2 * contactTime))
+			if asked.IsValid() == isReady {
+				t.Errorf("got a question to %v, want one: %t", asked, !isReady)
+			}
+		})
+	}
+}
