Give the control host of a test its address

TestIsolatedControlHostIsNoContact failed on the mended code too: its control host stated no address, so that the question went nowhere. With the address it fails without the change before this one, and passes with it.

--- a/internal/exchange/feed_test.go
+++ b/internal/exchange/feed_test.go
@@ -112,7 +112,9 @@
 func TestIsolatedControlHostIsNoContact(t *testing.T) {
 	for test, isReady := range map[string]bool{"confirmed": true, "isolated": false} {
 		t.Run(test, func(t *testing.T) {
-			control := NewCore(start, self(0, membership.Control), nil, 0)
+			statement := self(0, membership.Control)
+			statement.Address, statement.Incarnation = address(0), 1
+			control := NewCore(start, statement, nil, 0)
 			c := NewCore(start, self(9, membership.Entry), []netip.AddrPort{address(0)}, 0)
 			c.Offer(start, control.Members.Statement())
 			c.Node.SetConfirmed(true)
