Explain the refusal of a host that has just joined

What callers saw: refusal why said "host entry-2, which the id names, is not known to host entry-1" for a refusal 0.3 s old, and named a check of the name as the remedy.

Cause: a host that has just started refuses its first calls (it has no current configuration yet) before its statement has reached all hosts. The asked host looked for the other's address once.

The asked host now waits up to 2 s for the statement, the time in which changes reach all hosts. TestRefusalOfAHostThatJustJoined failed before.

--- a/internal/admin/refusal.go
+++ b/internal/admin/refusal.go
@@ -19,8 +19,7 @@
 	}
 	host, ok := refusal.HostOf(mustardramp.RefusalID(p.ID))
 	if ok && host != s.Host {
-		address, known := s.hostAddress(host)
-		if known {
+		if address, known := s.awaitHost(ctx, host); known {
 			return s.ask(ctx, host, address, p)
 		}
 		return nil, named(errNotFound, "host %s, which the id names, is not known to host %s", host, s.Host)
@@ -46,6 +45,33 @@
 	return mustardramp.Refusal{}, false
 }
 
+const (
+	// joinTime bounds the wait for the statement of a host that has just joined: it
+	// reaches all hosts within 2 s (docs/design/dissemination.md).
+	joinTime = 2 * time.Second
+	// joinPause is the time between two looks for it.
+	joinPause = 50 * time.Millisecond
+)
+
+// awaitHost returns the address of a host, and waits for one that is not known
+// yet: it may have refused its first calls before all others heard of it.
+func (s refusals) awaitHost(ctx context.Context, host mustardramp.HostName) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, joinTime)
+	defer cancel()
+	ticker := time.NewTicker(joinPause)
+	defer ticker.Stop()
+	for {
+		if address, known := s.hostAddress(host); known {
+			return address, true
+		}
+		select {
+		case <-ctx.Done():
+			return "", false
+		case <-ticker.C:
+		}
+	}
+}
+
 func (s refusals) hostAddress(host mustardramp.HostName) (string, bool) {
 	if s.Fleet == nil {
 		return "", false
