Count each request once for the budget of further attempts

Cause: keepers counted requests by the asks that reached them. A request that one keeper turned away, as all its backends were likely ill, was counted there, at the next keeper, and at both again when it insisted; one whose dial failed was counted again with the next backend.

A demand says whether a keeper was asked for it before, and counts once. A further attempt that was allowed and for which the keeper has no backend goes back into the window.

--- a/internal/lease/desk.go
+++ b/internal/lease/desk.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/pool"
 	"github.com/mustardramp/mustardramp/internal/retry"
@@ -13,10 +15,14 @@
 
 // desk grants leases of one group.
 type desk struct {
-	pool *pool.Pool
+	group GroupID
+	pool  *pool.Pool
 	// window bounds further attempts while pooled is set.
 	window retry.Window
 	pooled atomic.Bool
+	// spentLogged is when the log was last told of a further attempt too many, in
+	// Unix nanoseconds.
+	spentLogged atomic.Int64
 
 	mu sync.Mutex
 	// leases holds the asks that wait and the leases that are out.
@@ -39,8 +45,8 @@
 	listed time.Time
 }
 
-func newDesk(p *pool.Pool) *desk {
-	return &desk{pool: p, leases: map[holding]*issued{}}
+func newDesk(id GroupID, p *pool.Pool) *desk {
+	return &desk{group: id, pool: p, leases: map[holding]*issued{}}
 }
 
 // grant waits for a slot and books the lease.
@@ -70,15 +76,37 @@
 		return d.pool.Acquire(ctx, demand)
 	}
 	if !demand.Repeat {
-		d.window.Fresh(now)
-	} else if !d.window.Allow(now) {
+		if !demand.Counted {
+			d.window.Fresh(now)
+		}
+		return d.pool.Acquire(ctx, demand)
+	}
+	if account, ok := d.window.Allow(now); !ok {
+		d.logSpent(now, account)
 		return nil, &mustardramp.Denial{
 			Kind:       mustardramp.KindPressure,
 			Reason:     "The service has had as many further attempts as it may in ten seconds.",
 			RetryAfter: time.Second,
 		}
 	}
-	return d.pool.Acquire(ctx, demand)
+	slot, err := d.pool.Acquire(ctx, demand)
+	if err != nil {
+		d.window.Return(now)
+	}
+	return slot, err
+}
+
+// spentLogPause is the least time between two lines on a desk's spent budget.
+const spentLogPause = time.Second
+
+// logSpent notes that a further attempt was one too many.
+func (d *desk) logSpent(now time.Time, a retry.Account) {
+	last := d.spentLogged.Load()
+	if now.UnixNano()-last < int64(spentLogPause) || !d.spentLogged.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	klog.InfoS("further-attempts-spent", "service", d.pool.Service(), "region", d.group.Region, "part", d.group.Part,
+		"fresh", a.Fresh, "repeats", a.Repeats, "most", a.Most)
 }
 
 func (d *desk) denied(ask *Ask, err error) (Grant, error) {
@@ -166,7 +194,8 @@
 
 func (a *Ask) demand(now time.Time) mustardramp.Demand {
 	d := mustardramp.Demand{
-		Rank: a.Rank, Caller: a.Caller, Idempotent: a.Idempotent, Tried: a.Tried, Size: a.Size, Place: a.Place, Repeat: a.Repeat, Wary: a.Wary,
+		Rank: a.Rank, Caller: a.Caller, Idempotent: a.Idempotent, Tried: a.Tried, Size: a.Size, Place: a.Place,
+		Repeat: a.Repeat, Wary: a.Wary, Counted: a.Counted,
 	}
 	if a.Soon > 0 {
 		d.Target = now.Add(a.Soon)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -47,9 +47,10 @@
 	Place mustardramp.Place `json:"place" cbor:"11,keyasint"`
 	// Soon is the time left to the demand's target; 0 means that there is none.
 	Soon time.Duration `json:"soon,omitempty" cbor:"14,keyasint,omitempty"`
-	// Repeat and Wary are those of the demand.
-	Repeat bool `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"`
-	Wary   bool `json:"wary,omitempty" cbor:"13,keyasint,omitempty"`
+	// Repeat, Wary and Counted are those of the demand.
+	Repeat  bool `json:"repeat,omitempty" cbor:"12,keyasint,omitempty"`
+	Wary    bool `json:"wary,omitempty" cbor:"13,keyasint,omitempty"`
+	Counted bool `json:"counted,omitempty" cbor:"15,keyasint,omitempty"`
 }
 
 // Grant answers an Ask with a lease or a denial.
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -170,26 +170,27 @@
 
 // Acquire implements mustardramp.Pool.
 func (p *Pool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
+	demand.Counted = len(demand.Tried) > 0
 	if demand.Wary = len(p.plan.Load().groups) > 1; demand.Wary {
-		slot, err := p.acquireAny(ctx, demand)
+		slot, err := p.acquireAny(ctx, &demand)
 		if err == nil || !elsewhere(err) {
 			return slot, err
 		}
 		demand.Wary = false
 	}
-	return p.acquireAny(ctx, demand)
+	return p.acquireAny(ctx, &demand)
 }
 
 // acquireAny asks one group after the other.
-func (p *Pool) acquireAny(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
+func (p *Pool) acquireAny(ctx context.Context, demand *mustardramp.Demand) (mustardramp.Slot, error) {
 	skip := map[GroupID]bool(nil)
 	var last error
 	for range len(p.plan.Load().groups) {
-		g := p.choose(&demand, skip)
+		g := p.choose(demand, skip)
 		if g == nil {
 			break
 		}
-		slot, err := p.acquire(ctx, g, &demand)
+		slot, err := p.acquire(ctx, g, demand)
 		if err == nil || !elsewhere(err) {
 			return slot, err
 		}
@@ -200,7 +201,7 @@
 		skip[g.id] = true
 	}
 	if last == nil {
-		last = p.nowhere(&demand)
+		last = p.nowhere(demand)
 	}
 	return nil, last
 }
@@ -270,6 +271,7 @@
 	local.Place = p.config.Pool.Place
 	local.Tried = append(p.shunned(g), demand.Tried...)
 	held, err := d.acquire(ctx, p.clock.Now(), local)
+	demand.Counted = true
 	p.note(g.id, demand.Rank, d.pool.Pressure(demand.Rank))
 	if err != nil {
 		return nil, err
@@ -288,6 +290,8 @@
 		return nil, p.pressed(g, peer, demand, most)
 	}
 	grant, err := p.config.Peers.Ask(call, peer.name, ask)
+	// A keeper that did not answer may have counted the request.
+	demand.Counted = true
 	peer.answered(demand.Rank)
 	if err != nil {
 		// The keeper may grant it yet.
@@ -319,7 +323,7 @@
 		Holder: p.config.Holder, Number: Number(p.next.Add(1)),
 		Rank: demand.Rank, Caller: demand.Caller, Idempotent: demand.Idempotent,
 		Tried: append(p.shunned(g), demand.Tried...), Size: demand.Size,
-		Place: p.config.Pool.Place, Repeat: demand.Repeat, Wary: demand.Wary,
+		Place: p.config.Pool.Place, Repeat: demand.Repeat, Wary: demand.Wary, Counted: demand.Counted,
 	}
 	if !demand.Target.IsZero() {
 		ask.Soon = max(demand.Target.Sub(p.clock.Now()), time.Nanosecond)
@@ -435,7 +439,7 @@
 	if g != nil {
 		config.Place = g.place
 	}
-	d := newDesk(pool.New(config))
+	d := newDesk(id, pool.New(config))
 	if g != nil {
 		d.pool.Update(g.standings)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -110,12 +110,17 @@
 
 func (p *Pool) slot(lease Lease) *slot {
 	if lease.unused >= unusedToLog {
-		klog.InfoS("backend-tried-again", "service", p.core.terms.Load().Service, "backend", lease.member.backend.Address,
+		klog.InfoS("backend-tried-again", "service", p.Service(), "backend", lease.member.backend.Address,
 			"unused", lease.unused.Milliseconds(), "risk", lease.member.belief.at(lease.granted.UnixNano()), "floor", lease.check)
 	}
 	return &slot{Lease: lease, pool: p}
 }
 
+// Service returns the name of the pool's service.
+func (p *Pool) Service() mustardramp.ServiceName {
+	return p.core.terms.Load().Service
+}
+
 // slot implements mustardramp.Slot.
 type slot struct {
 	Lease
@@ -126,7 +131,7 @@
 func (s *slot) Release(result mustardramp.Result, latency time.Duration) {
 	now := s.pool.clock.Now()
 	if turn := s.pool.core.Finish(now, s.Lease, result, latency); turn.IsDoubt() || turn.IsTrust() {
-		klog.InfoS("backend-belief", "service", s.pool.core.terms.Load().Service, "backend", s.member.backend.Address,
+		klog.InfoS("backend-belief", "service", s.pool.Service(), "backend", s.member.backend.Address,
 			"ill", turn.IsDoubt(), "risk", turn.After, "before", turn.Before, "result", result)
 	}
 	if s.pool.results != nil {
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -48,27 +48,49 @@
 	w.fresh[w.step%keptSteps]++
 }
 
-// Allow counts a further attempt, or reports false.
-func (w *Window) Allow(now time.Time) bool {
+// Account is what a Window counted for a span of ten seconds.
+type Account struct {
+	// Fresh are the requests that count for the span, and Repeats the further
+	// attempts in it.
+	Fresh, Repeats int
+	// Most bounds the further attempts.
+	Most float64
+}
+
+// Allow counts a further attempt, or reports false and the account of the span
+// that has no room for it.
+func (w *Window) Allow(now time.Time) (Account, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.turn(now)
 	for from := w.step - boundSteps; from <= w.step; from++ {
-		if float64(count(&w.repeat, from, w.step)+1) > w.most(from) {
-			return false
+		if a := w.account(from); float64(a.Repeats+1) > a.Most {
+			return a, false
 		}
 	}
 	w.repeat[w.step%keptSteps]++
-	return true
+	return Account{}, true
+}
+
+// Return takes back a further attempt that was allowed at a time and not made.
+func (w *Window) Return(allowed time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	step := allowed.UnixNano() / int64(windowStep)
+	if step > w.step-keptSteps && w.repeat[step%keptSteps] > 0 {
+		w.repeat[step%keptSteps]--
+	}
 }
 
-// most returns how many further attempts a span may see that begins within a
-// step. Fresh requests count in the steps that lie wholly within the spans.
-func (w *Window) most(from int64) float64 {
+// account returns what counts for a span that begins within a step. Fresh requests
+// count in the steps that lie wholly within the spans.
+func (w *Window) account(from int64) Account {
 	within := count(&w.fresh, from+1, min(w.step, from+boundSteps-1))
 	before := count(&w.fresh, from-boundSteps+1, from-1)
 	across := count(&w.fresh, from-boundSteps/2+1, min(w.step, from+boundSteps/2-1))
-	return w.share*float64(max(within, before, across)) + w.slack
+	a := Account{Fresh: max(within, before, across), Repeats: count(&w.repeat, from, w.step)}
+	a.Most = w.share*float64(a.Fresh) + w.slack
+	return a
 }
 
 // count sums the steps from one to another.
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -21,7 +21,7 @@
 			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 20, 300, 4000}).Draw(t, "pause")) * time.Millisecond)
 			w.Fresh(now)
 			fresh = append(fresh, now)
-			if w.Allow(now) {
+			if _, ok := w.Allow(now); ok {
 				repeats = append(repeats, now)
 			}
 		}
@@ -45,7 +45,7 @@
 
 func TestZeroWindowAllowsNothing(t *testing.T) {
 	var w Window
-	if w.Allow(time.Unix(1_000_000, 0)) {
+	if _, ok := w.Allow(time.Unix(1_000_000, 0)); ok {
 		t.Error("got an attempt, want none")
 	}
 }
--- a/path.go
+++ b/path.go
@@ -24,6 +24,9 @@
 	// Wary demands are turned away where every backend is likely to be ill, so
 	// that another group is tried first.
 	Wary bool
+	// Counted is true when a keeper was asked for the request before: it counts
+	// once among the requests of the service.
+	Counted bool
 	// Place is where the request entered the fleet; its zero value is not
 	// known.
 	Place Place
