State the asking host in questions for the confirmed state

Cause: a restarted control host knows nobody and learns of the entry hosts by catch-ups, in which hosts take turns with changes and backends. Whom it does not know it does not feed; those hosts had the state already, so their questions brought nothing new and came every 3 s only.

An entry host's question carries its statement about itself. A more frequent question was weighed and left: it costs all unfed hosts of a large fleet, and a change would still wait for it.

--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/link"
 )
 
@@ -26,15 +27,25 @@
 	Records []byte `cbor:"2,keyasint,omitempty"`
 }
 
+// question asks for the confirmed state. Its Statement is the asking host's about
+// itself, and may be missing.
+type question struct {
+	State
+	Statement mustardramp.Record `cbor:"3,keyasint,omitempty"`
+}
+
 // confirmed answers with the state that a quorum confirms. A control host that
 // is cut off from the others has none to give.
-func (e *Exchange) confirmed(ctx context.Context, theirs State) (confirmedState, error) {
+func (e *Exchange) confirmed(ctx context.Context, q question) (confirmedState, error) {
+	e.mu.Lock()
+	e.took(e.core.Asked(e.now(), q))
+	e.mu.Unlock()
 	if err := e.options.Log.Confirm(ctx); err != nil {
 		return confirmedState{}, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.core.Node.stateFor(theirs)
+	return e.core.Node.stateFor(q.State)
 }
 
 // confirmLog keeps up the readiness of a control host.
@@ -72,10 +83,16 @@
 	}
 }
 
+func (e *Exchange) question() question {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Question()
+}
+
 func (e *Exchange) confirmFrom(ctx context.Context, control netip.AddrPort) {
 	client := &link.Client{Address: control, TLS: e.options.TLS, Timeout: stateTime}
 	defer func() { _ = client.Close() }()
-	reply, err := link.Call[confirmedState](ctx, client, methodState, e.State())
+	reply, err := link.Call[confirmedState](ctx, client, methodState, e.question())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	wasReady, unheard := e.core.Node.Ready(), e.core.Unheard(e.now())
--- a/internal/exchange/contact.go
+++ b/internal/exchange/contact.go
@@ -97,6 +97,21 @@
 	return all
 }
 
+// Question returns what the host asks a control host for the present state with.
+func (c *Core) Question() question {
+	return question{State: c.Node.State(), Statement: c.Members.Statement()}
+}
+
+// Asked takes in who asks, and returns the records that are news. It answers the
+// loss of all control hosts: one that has just started learns from the questions
+// which hosts to send changes to, before any catch-up.
+func (c *Core) Asked(now time.Time, q question) []mustardramp.Record {
+	if q.Statement.Kind != mustardramp.RecordHost || q.Statement.Key == "" {
+		return nil
+	}
+	return c.Offer(now, q.Statement)
+}
+
 // Told takes in the state that a control host confirmed. It returns the records
 // that are news.
 func (c *Core) Told(now time.Time, control netip.AddrPort, state confirmedState) ([]mustardramp.Record, error) {
--- a/internal/exchange/cut_test.go
+++ b/internal/exchange/cut_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/mustardramp/mustardramp"
 )
 
 // contactWindow is the time after a cut from which the deployments count a host
@@ -63,3 +65,43 @@
 		})
 	}
 }
+
+// TestConfigurationIsLateAfterTheLossOfControl restarts all control hosts without
+// what they knew of the fleet: the next change must be in force in time at hosts
+// that they have not heard of yet.
+func TestConfigurationIsLateAfterTheLossOfControl(t *testing.T) {
+	const (
+		controls = 5
+		hosts    = controls + 130
+		// inForce is the time in which a change is in force everywhere.
+		inForce = 2 * time.Second
+	)
+	for seed := range uint64(*seeds) {
+		m := newControlledMesh(t, seed, hosts, controls)
+		m.oneWay, m.loss = 100*time.Millisecond, 0.03
+		m.run(5 * time.Second)
+		for c := range controls {
+			m.down[name(c)] = true
+		}
+		m.run(4 * time.Second)
+		for c := range controls {
+			m.join(c, seed+1).Node.SetConfirmed(true)
+		}
+		for epoch := range uint64(4) {
+			m.run(500 * time.Millisecond)
+			for c := range controls {
+				m.offer(name(c), change("*", epoch+1, 5000))
+			}
+			m.run(inForce)
+			late := 0
+			for i := controls; i < hosts; i++ {
+				if m.nodes[name(i)].Node.Newest() != mustardramp.Index(epoch+1) {
+					late++
+				}
+			}
+			if late > 0 {
+				t.Errorf("seed %d: %d of %d hosts lack change %d after %v", seed, late, hosts-controls, epoch+1, inForce)
+			}
+		}
+	}
+}
--- a/internal/exchange/mesh_test.go
+++ b/internal/exchange/mesh_test.go
@@ -157,15 +157,16 @@
 	case !m.passes(host, to) || !m.passes(to, host) || 2*m.oneWay >= stateTime:
 		m.after(stateTime+askPause, again)
 	default:
-		state := c.Node.State()
-		m.after(m.oneWay, func() { m.tell(host, c, to, state) })
+		q := c.Question()
+		m.after(m.oneWay, func() { m.tell(host, c, to, q) })
 		m.after(2*m.oneWay+askPause, again)
 	}
 }
 
 // tell carries a control host's answer back.
-func (m *mesh) tell(host mustardramp.HostName, c *Core, from mustardramp.HostName, theirs State) {
-	state, err := m.nodes[from].Node.stateFor(theirs)
+func (m *mesh) tell(host mustardramp.HostName, c *Core, from mustardramp.HostName, q question) {
+	m.deliver(from, m.nodes[from].Asked(m.now, q))
+	state, err := m.nodes[from].Node.stateFor(q.State)
 	if err != nil {
 		m.t.Fatal(err)
 	}
