Read a backend's belief once at the end of an attempt

The end of an attempt read the belief three times to tell whether it turned. The observation returns what it was and what it is. Behaviour stays as it was.

--- a/internal/pool/belief.go
+++ b/internal/pool/belief.go
@@ -75,13 +75,13 @@
 }
 
 // observe takes in an outcome by Bayes' rule.
-func (b *belief) observe(now int64, s symptom) {
-	if s == noSign {
-		return
-	}
+func (b *belief) observe(now int64, s symptom) Turn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	prior := b.drift(now)
+	if s == noSign {
+		return Turn{Before: prior, After: prior}
+	}
 	ill, well := illFails, wellFails
 	switch s {
 	case wellSign:
@@ -91,6 +91,7 @@
 	}
 	posterior := prior * ill / (prior*ill + (1-prior)*well)
 	b.risk, b.then = max(leastRisk, min(posterior, mostRisk)), now
+	return Turn{Before: prior, After: b.risk}
 }
 
 // adopt takes over the belief of another host, which knew more.
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -147,9 +147,7 @@
 // how the result changed the belief about the backend.
 func (c *Core) Finish(now time.Time, lease Lease, result mustardramp.Result, latency time.Duration) Turn {
 	lease.member.flights.end(lease.granted.UnixNano())
-	turn := Turn{Before: lease.member.belief.at(now.UnixNano())}
-	lease.member.leave(result, latency, now)
-	turn.After = lease.member.belief.at(now.UnixNano())
+	turn := lease.member.leave(result, latency, now)
 	if result == mustardramp.ResultGood {
 		learn(&c.costs[lease.rank], now.Sub(lease.granted))
 		c.transit.observe(now.Sub(lease.granted), latency)
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -121,7 +121,7 @@
 }
 
 // leave ends one attempt and learns from its result.
-func (m *member) leave(result mustardramp.Result, latency time.Duration, now time.Time) {
+func (m *member) leave(result mustardramp.Result, latency time.Duration, now time.Time) Turn {
 	n := m.inFlight.Add(-1) + 1
 	switch result {
 	case mustardramp.ResultShed:
@@ -144,13 +144,14 @@
 	if shown == sign {
 		m.haunt(latency, now)
 	}
-	m.belief.observe(now.UnixNano(), shown)
+	turn := m.belief.observe(now.UnixNano(), shown)
 	switch shown {
 	case wellSign:
 		m.doubt.Store(0)
 	case sign, dialSign:
-		m.doubt.Store(math.Float64bits(m.belief.at(now.UnixNano())))
+		m.doubt.Store(math.Float64bits(turn.After))
 	}
+	return turn
 }
 
 // symptom says what a result shows of the backend's health. An answer that took
