Let a keeper that takes over start with the attempts that were counted

What callers would see: the budget of further attempts is spent once more when its keeper is lost, and again when it comes back.

Cause: a keeper that takes over a group becomes its first one, with the group's part of the slack and an empty window.

Keepers tell the next one what they counted by second, with their beliefs; one that was asked in the last ten seconds tells the first keeper, also a fresh one. Steps are seconds of Unix time and the greater count of each holds, so that telling twice changes nothing. Weighed: ages in place of times need no common clock, but a count that shifts by a step between two tellings is then counted twice; counts from a clock that is ahead are left out instead.

--- a/internal/lease/brief.go
+++ b/internal/lease/brief.go
@@ -3,41 +3,41 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/pool"
+	"github.com/mustardramp/mustardramp/internal/retry"
 )
 
 // Briefing tells the next keeper of a group what its keeper believes of the
-// backends, so that it starts with it when it takes over.
+// backends and which attempts it counted, so that it starts with both when it takes
+// over. A keeper that stood in tells the first one its counts.
 type Briefing struct {
 	Service mustardramp.ServiceName `cbor:"1,keyasint"`
 	Group   GroupID                 `cbor:"2,keyasint"`
 	Beliefs []pool.Belief           `cbor:"3,keyasint"`
+	Counts  retry.Counts            `cbor:"4,keyasint"`
 }
 
-// Brief tells the next keepers what this host believes of the groups that it
-// keeps. It is called now and then, and before the host leaves.
+// Brief tells the next keepers what this host knows of the groups that it keeps.
+// It is called now and then, and before the host leaves.
 func (p *Pool) Brief(ctx context.Context) {
 	var group errgroup.Group
 	p.desks.Range(func(id, value any) bool {
 		g := p.plan.Load().byID[id.(GroupID)]
-		next := p.nextKeeper(g)
-		if next == "" {
-			return true
-		}
-		briefing := Briefing{Service: p.config.Pool.Terms.Service, Group: g.id, Beliefs: value.(*desk).pool.Beliefs()}
-		if len(briefing.Beliefs) == 0 {
+		to, briefing := p.briefing(g, value.(*desk))
+		if to == "" {
 			return true
 		}
 		group.Go(func() error {
 			bounded, cancel := context.WithTimeout(ctx, reportTime)
 			defer cancel()
-			if err := p.config.Peers.Brief(bounded, next, briefing); err != nil {
-				klog.V(1).InfoS("briefing-lost", "service", briefing.Service, "to", next, "cause", err)
+			if err := p.config.Peers.Brief(bounded, to, briefing); err != nil {
+				klog.V(1).InfoS("briefing-lost", "service", briefing.Service, "to", to, "cause", err)
 			}
 			return nil
 		})
@@ -46,20 +46,40 @@
 	_ = group.Wait()
 }
 
-// nextKeeper returns the host that is asked for a group after this one, if this
-// one keeps it.
-func (p *Pool) nextKeeper(g *group) mustardramp.HostName {
-	if p.config.Peers == nil || g == nil || len(g.keepers) < 2 || g.keepers[0] != p.config.Holder.Host {
-		return ""
+// standInTime is the time after an ask for which a keeper that stood in tells the
+// first one its counts: the span of the budget.
+const standInTime = 10 * time.Second
+
+// briefing returns what a desk has to tell, and to whom; nobody when there is
+// nothing.
+func (p *Pool) briefing(g *group, d *desk) (mustardramp.HostName, Briefing) {
+	if p.config.Peers == nil || g == nil || len(g.keepers) < 2 {
+		return "", Briefing{}
+	}
+	now := p.clock.Now()
+	b := Briefing{Service: p.config.Pool.Terms.Service, Group: g.id}
+	if d.pooled.Load() {
+		b.Counts = d.window.Counts(now)
+	}
+	if g.keepers[0] == p.config.Holder.Host {
+		if b.Beliefs = d.pool.Beliefs(); len(b.Beliefs) == 0 && len(b.Counts.Fresh) == 0 {
+			return "", Briefing{}
+		}
+		return g.keepers[1], b
+	}
+	if len(b.Counts.Fresh) == 0 || !d.window.UsedSince(now.Add(-standInTime)) {
+		return "", Briefing{}
 	}
-	return g.keepers[1]
+	return g.keepers[0], b
 }
 
-// Adopt takes in the beliefs of a group's keeper.
+// Adopt takes in what another keeper of a group knows.
 func (p *Pool) Adopt(briefing Briefing) {
 	g := p.plan.Load().byID[briefing.Group]
 	if g == nil || !slices.Contains(g.keepers, p.config.Holder.Host) {
 		return
 	}
-	p.desk(briefing.Group).pool.Adopt(briefing.Beliefs)
+	d := p.desk(briefing.Group)
+	d.pool.Adopt(briefing.Beliefs)
+	d.window.Adopt(p.clock.Now(), briefing.Counts)
 }
--- a/internal/lease/budget_test.go
+++ b/internal/lease/budget_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,3 +62,78 @@
 		t.Errorf("got %d requests counted, want %d", counted, requests)
 	}
 }
+
+// spender sends requests that every backend sheds, each as often as it may.
+type spender struct {
+	t                 *testing.T
+	pool              *Pool
+	requests, repeats int
+}
+
+func (s *spender) run(span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.requests++
+		d := bulk()
+		for range 3 {
+			slot, err := s.pool.Acquire(s.t.Context(), d)
+			if err != nil {
+				break
+			}
+			if d.Repeat {
+				s.repeats++
+			}
+			d.Repeat, d.Tried = true, append(d.Tried, slot.Backend().ID)
+			slot.Release(mustardramp.ResultShed, time.Millisecond)
+		}
+	}
+}
+
+// TestNextKeeperSpendsTheBudgetAgain loses the keeper that has spent the budget of
+// further attempts, and brings it back without its memory: whoever keeps the group
+// must not allow them once more.
+func TestNextKeeperSpendsTheBudgetAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		standings := []mustardramp.Standing{standing(1, kolA, 100), standing(2, kolA, 100)}
+		net := newNetwork(6, standings...)
+		defer net.close()
+		const slack = 50
+		settings := terms()
+		settings.Pooled, settings.Budget = true, 20
+		configure := func(p *Pool) {
+			p.config.Slack = slack
+			p.Configure(settings)
+		}
+		for _, p := range net.pools {
+			configure(p)
+		}
+		p, keeper := asker(net)
+		s := &spender{t: t, pool: p}
+		check := func(when string) {
+			if most := s.requests/5 + slack; s.repeats > most || s.repeats < most/2 {
+				t.Errorf("%s: got %d further attempts of %d requests, want %d to %d", when, s.repeats, s.requests, most/2, most)
+			}
+		}
+		s.run(3 * time.Second)
+		check("at the first keeper")
+
+		net.pools[keeper].Step(t.Context())
+		net.sever(keeper)
+		left := slices.DeleteFunc(slices.Clone(net.hosts), func(h Host) bool { return h.Name == keeper })
+		for _, h := range left {
+			net.pools[h.Name].SetHosts(left)
+		}
+		s.run(3 * time.Second)
+		check("at the next keeper")
+
+		net.restart(keeper, standings)
+		configure(net.pools[keeper])
+		for _, h := range net.hosts {
+			net.pools[h.Name].SetHosts(net.hosts)
+		}
+		for _, h := range net.hosts {
+			net.pools[h.Name].Step(t.Context())
+		}
+		s.run(3 * time.Second)
+		check("at the first keeper again")
+	})
+}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -109,17 +109,35 @@
 		net.hosts = append(net.hosts, Host{Name: mustardramp.HostName(fmt.Sprint("host-", i)), Place: places[i%2]})
 	}
 	for _, h := range net.hosts {
-		p := New(Config{
-			Pool:   pool.Config{Terms: terms(), Place: h.Place},
-			Holder: Holder{Host: h.Name, Incarnation: 1}, Peers: net,
-		})
-		p.SetHosts(net.hosts)
-		p.Update(standings)
-		net.pools[h.Name] = p
+		net.start(h, 1, standings)
 	}
 	return net
 }
 
+// start starts a host's pool.
+func (n *network) start(h Host, incarnation mustardramp.Incarnation, standings []mustardramp.Standing) {
+	p := New(Config{
+		Pool:   pool.Config{Terms: terms(), Place: h.Place},
+		Holder: Holder{Host: h.Name, Incarnation: incarnation}, Peers: n,
+	})
+	p.SetHosts(n.hosts)
+	p.Update(standings)
+	n.pools[h.Name] = p
+}
+
+// restart brings a severed host back without its memory.
+func (n *network) restart(host mustardramp.HostName, standings []mustardramp.Standing) {
+	n.pools[host].Close()
+	for _, h := range n.hosts {
+		if h.Name == host {
+			n.start(h, 2, standings)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, host)
+}
+
 func (n *network) close() {
 	for _, p := range n.pools {
 		p.Close()
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -117,12 +117,12 @@
 	return p.terms.Budget.Of(1)
 }
 
-// ratioShare is the part of the ratio that is used: an ask that reaches two
-// keepers counts twice.
+// ratioShare is the part of the ratio that is used: each keeper takes the best of
+// three windows, which together may exceed the best of the fleet.
 const ratioShare = 0.95
 
 // slackShare is the part of the fleet's slack that is used: a keeper that takes
-// over knows nothing of what the one before it allowed.
+// over does not know what the one before it allowed in its last second.
 const slackShare = 0.8
 
 // Update implements mustardramp.Pool.
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -28,8 +28,9 @@
 	// fresh and repeat count by step, modulo keptSteps.
 	fresh  [keptSteps]int
 	repeat [keptSteps]int
-	// step is the number of the newest step counted.
-	step int64
+	// step is the number of the newest step, counted the newest with a count, and
+	// used the newest in which this window counted itself.
+	step, counted, used int64
 }
 
 // Configure sets the share of fresh requests, and the number beside, that
@@ -46,6 +47,7 @@
 	defer w.mu.Unlock()
 	w.turn(now)
 	w.fresh[w.step%keptSteps]++
+	w.counted, w.used = w.step, w.step
 }
 
 // Account is what a Window counted for a span of ten seconds.
@@ -69,6 +71,7 @@
 		}
 	}
 	w.repeat[w.step%keptSteps]++
+	w.counted, w.used = w.step, w.step
 	return Account{}, true
 }
 
@@ -82,6 +85,57 @@
 	}
 }
 
+// Counts are what a Window counted by step, the newest last, for the one that
+// takes over from it.
+type Counts struct {
+	// Step is the newest step, in seconds of Unix time.
+	Step    int64 `cbor:"1,keyasint"`
+	Fresh   []int `cbor:"2,keyasint"`
+	Repeats []int `cbor:"3,keyasint"`
+}
+
+// Counts returns what the window counted, nothing when that is long ago.
+func (w *Window) Counts(now time.Time) Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn(now)
+	if w.counted <= w.step-keptSteps {
+		return Counts{}
+	}
+	c := Counts{Step: w.step}
+	for step := max(0, w.step-keptSteps+1); step <= w.step; step++ {
+		c.Fresh = append(c.Fresh, w.fresh[step%keptSteps])
+		c.Repeats = append(c.Repeats, w.repeat[step%keptSteps])
+	}
+	return c
+}
+
+// Adopt takes in the counts of another window for the same requests. Both may have
+// told each other before, so that the greater count of each step holds. Steps that
+// are over here, or not yet begun by this clock, do not count.
+func (w *Window) Adopt(now time.Time, c Counts) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn(now)
+	for i := range min(len(c.Fresh), len(c.Repeats)) {
+		step := c.Step - int64(len(c.Fresh)-1-i)
+		if step <= w.step-keptSteps || step < 0 || step > w.step {
+			continue
+		}
+		at := step % keptSteps
+		w.fresh[at] = max(w.fresh[at], c.Fresh[i])
+		w.repeat[at] = max(w.repeat[at], c.Repeats[i])
+		w.counted = max(w.counted, step)
+	}
+}
+
+// UsedSince reports whether the window itself counted anything since a time.
+func (w *Window) UsedSince(from time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.used > 0 && w.used >= from.UnixNano()/int64(windowStep)
+}
+
 // account returns what counts for a span that begins within a step. Fresh requests
 // count in the steps that lie wholly within the spans.
 func (w *Window) account(from int64) Account {
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -49,3 +49,42 @@
 		t.Error("got an attempt, want none")
 	}
 }
+
+// TestAdoptedCountsBound has a window take over from another, more than once and
+// from clocks that differ: what the first allowed is spent.
+func TestAdoptedCountsBound(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	for name, tc := range map[string]struct {
+		// skew is how far the first clock is ahead, and late how much later the
+		// counts arrive.
+		skew, late time.Duration
+		want       int
+	}{
+		"same clock":             {want: 0},
+		"first clock behind":     {skew: -3 * time.Second, want: 0},
+		"first clock ahead":      {skew: time.Minute, want: 5},
+		"after more than a span": {late: 12 * time.Second, want: 5},
+		"long after":             {late: time.Hour, want: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var first, next Window
+			first.Configure(0, 5)
+			next.Configure(0, 5)
+			for range 5 {
+				first.Allow(start.Add(tc.skew))
+			}
+			counts := first.Counts(start.Add(tc.skew))
+			now := start.Add(tc.late)
+			got := 0
+			for range 10 {
+				next.Adopt(now, counts)
+				if _, ok := next.Allow(now); ok {
+					got++
+				}
+			}
+			if got != tc.want {
+				t.Errorf("got %d further attempts, want %d", got, tc.want)
+			}
+		})
+	}
+}
