Measure spans by the steady clock

Cause: decisions take times without their steady part. A backend whose dial had failed is left alone for 100 ms; after a jump back by 3 s that lasted 3 s longer. Each of the backends without attempts had a failed dial before the jump, those with attempts had none. The link, the slots and the roster were ruled out: no standing changed, and nothing was under way at these backends.

SystemClock tells the time of day at the start of the process and the steady time since. Times for people (refusals, changes, fleet status) are turned back into the time of day. Weighed: to strip nothing and compare time.Time everywhere costs atomics and leaves the next conversion to be found.

--- a/id.go
+++ b/id.go
@@ -52,16 +52,28 @@
 	return n * float64(p) / 100
 }
 
-// Clock tells the time. Tests inject their own.
+// Clock tells the time for decisions: it never jumps. TimeOfDay turns what it tells
+// into the time to show. Tests inject their own.
 type Clock interface {
 	// Now returns the present time.
 	Now() time.Time
 }
 
-// SystemClock is the clock of the machine. Its zero value works.
+// SystemClock is the steady clock of the machine, which began with the time of day
+// at the start of the process. Its zero value works.
 type SystemClock struct{}
 
-// Now returns the machine's time.
+var processStart = time.Now()
+
+// Now returns the time of day at the start and the time since: when the machine's
+// time of day jumps, what was to end in a second still ends in a second.
 func (SystemClock) Now() time.Time {
-	return time.Now()
+	return processStart.Add(time.Since(processStart))
+}
+
+// TimeOfDay returns the machine's time of day at a time that a Clock told in this
+// process.
+func TimeOfDay(t time.Time) time.Time {
+	now := time.Now()
+	return now.Add(-now.Sub(t)).Round(0)
 }
--- a/internal/admin/contract.go
+++ b/internal/admin/contract.go
@@ -35,7 +35,7 @@
 		Change: mustardramp.ChangeID(p.Change),
 		Who:    p.Who,
 		Why:    p.Why,
-		At:     c.Clock.Now(),
+		At:     mustardramp.TimeOfDay(c.Clock.Now()),
 		Files:  filesOf(p.Files),
 	})
 	if err != nil {
--- a/internal/admin/refusal.go
+++ b/internal/admin/refusal.go
@@ -109,7 +109,7 @@
 		}
 		since = parsed
 	}
-	found := s.Refusals.ByCaller(mustardramp.CallerName(text(p.Caller)), since, s.Clock.Now())
+	found := s.Refusals.ByCaller(mustardramp.CallerName(text(p.Caller)), since, mustardramp.TimeOfDay(s.Clock.Now()))
 	result := &api.ListResult{}
 	skip := p.After != nil && *p.After != ""
 	for _, r := range found {
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -57,7 +57,7 @@
 		Rule:     x.rule(denial.Kind),
 		Reason:   denial.Reason,
 		Facts:    denial.Facts,
-		At:       x.h.config.Clock.Now(),
+		At:       mustardramp.TimeOfDay(x.h.config.Clock.Now()),
 		Host:     x.h.config.Host,
 		Caller:   x.caller,
 		Request:  x.r.Header.Get(requestIDHeader),
--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -59,7 +59,7 @@
 		Change: mustardramp.ChangeID(uuid.NewString()),
 		Who:    string(c.config.Name),
 		Why:    "published at this host",
-		At:     c.clock.Now(),
+		At:     mustardramp.TimeOfDay(c.clock.Now()),
 		Files:  []registry.File{{Name: tableFile, Source: source}},
 	})
 	switch {
--- a/internal/host/controlview.go
+++ b/internal/host/controlview.go
@@ -19,7 +19,7 @@
 	}
 	return &fleetapi.FleetStatus{
 		Host:     self.Name,
-		At:       v.clock.Now().UTC().Format(time.RFC3339),
+		At:       mustardramp.TimeOfDay(v.clock.Now()).UTC().Format(time.RFC3339),
 		Index:    self.Index,
 		Hosts:    hostsOf(self, v.exchange.Members(), &v.links),
 		Services: []*fleetapi.ServiceStatus{},
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -97,7 +97,7 @@
 	}
 	status := &fleetapi.FleetStatus{
 		Host:     self.Name,
-		At:       v.clock.Now().UTC().Format(time.RFC3339),
+		At:       mustardramp.TimeOfDay(v.clock.Now()).UTC().Format(time.RFC3339),
 		Index:    self.Index,
 		Hosts:    hostsOf(self, v.exchange.Members(), &v.links),
 		Services: []*fleetapi.ServiceStatus{},
