Compare the times that keys carry with the time of day

On the steady clock of a machine that started with a wrong time a fresh key would have been refused as one from the future until the next restart. Both take the time of day again, as before the steady clock; nothing that measures a span does.

--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/mustardramp/mustardramp"
 )
 
 const (
@@ -26,7 +28,7 @@
 // keyExpired reports whether the key carries a time for which outcomes are not
 // kept, so that an earlier sending could not be found any more.
 func (x *exchange) keyExpired() bool {
-	return expired(string(x.key), x.arrived, x.contract.Keep)
+	return expired(string(x.key), mustardramp.TimeOfDay(x.arrived), x.contract.Keep)
 }
 
 func expired(key string, now time.Time, keep time.Duration) bool {
--- a/internal/ledger/desk.go
+++ b/internal/ledger/desk.go
@@ -151,7 +151,7 @@
 
 func (d *Desk) propose(ctx context.Context, c Command) (Result, error) {
 	c.Member = d.Member
-	c.At = Millis(d.clock().Now().UnixMilli())
+	c.At = Millis(mustardramp.TimeOfDay(d.clock().Now()).UnixMilli())
 	encoded, err := c.Encode()
 	if err != nil {
 		return Result{}, Error.Wrap(err)
