Agree on the grade of a backend that another host ejects

What callers would see: more backends ejected than the floor spares, for two ticks longer than hosts need to hear each other.

Cause: two hosts eject a backend each, and a third backend leaves service, so that one of the two has to return. Both go by grade, then by handle. A host that wished to eject the other's backend itself kept its own lower grade for it, so that each put its own ejection first and waited for the other, until the wishes faded. Seen in the settled order of each host: own 1, the other's 0, told as 1.

A host takes over the grade that others give a backend also while it wishes to eject it.

--- a/internal/ejection/floor.go
+++ b/internal/ejection/floor.go
@@ -89,9 +89,9 @@
 		voice, ok := voices.Ejected[m.handle]
 		switch {
 		case !ok:
-		case m.everywhere():
+		case m.everywhere() || !m.wished.IsZero():
 			m.grade = max(m.grade, voice.Grade)
-		case m.wished.IsZero():
+		default:
 			m.grade = voice.Grade
 		}
 	}
