--- a/internal/exchange/cut_test.go
+++ b/internal/exchange/cut_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -105,3 +106,68 @@
 		}
 	}
 }
+
+// TestNewBackendIsUnknownAfterCuts cuts half of a large fleet off several times: a
+// backend that then announces itself at the busiest entry host must be known to all
+// others within the time in which a leaving one is.
+func TestNewBackendIsUnknownAfterCuts(t *testing.T) {
+	const (
+		controls = 5
+		hosts    = controls + 98
+		cuts     = 8
+		spread   = 3 * time.Second
+	)
+	m := newControlledMesh(t, 0, hosts, controls)
+	m.oneWay, m.loss = 100*time.Millisecond, 0.03
+	for cut := range cuts {
+		m.cutHalf(hosts)
+		m.run(6 * time.Second)
+		clear(m.cut)
+		m.run(6 * time.Second)
+		at, short := m.busiest(hosts)
+		backend := mustardramp.Record{
+			Kind: mustardramp.RecordBackend, Key: fmt.Sprintf("patha/127.0.0.1:%d", 1000+cut),
+			Version: mustardramp.Version{Epoch: 1, Sequence: 1}, Payload: make([]byte, 150),
+		}
+		late := hosts
+		m.heard = func(_ mustardramp.HostName, r mustardramp.Record) {
+			if r.Key == backend.Key {
+				late--
+			}
+		}
+		m.offer(at, backend)
+		m.run(spread)
+		if late > 0 {
+			t.Errorf("after cut %d, %d hosts short of budget: %d of %d hosts lack a backend %v after it joined, want none",
+				cut+1, short, late, hosts, spread)
+		}
+	}
+}
+
+// cutHalf cuts every second entry host off from the other hosts.
+func (m *mesh) cutHalf(hosts int) {
+	for i := m.controls; i < hosts; i++ {
+		for j := range hosts {
+			if i%2 == 0 && (j < m.controls || j%2 == 1) {
+				m.cut[direction{name(i), name(j)}] = true
+				m.cut[direction{name(j), name(i)}] = true
+			}
+		}
+	}
+}
+
+// busiest returns the entry host that has spent most, and how many are short of
+// budget.
+func (m *mesh) busiest(hosts int) (at mustardramp.HostName, short int) {
+	at = name(m.controls)
+	for i := m.controls; i < hosts; i++ {
+		node := m.nodes[name(i)].Node
+		if node.Spent() > m.nodes[at].Node.Spent() {
+			at = name(i)
+		}
+		if node.IsShort(m.now) {
+			short++
+		}
+	}
+	return at, short
+}
