--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -86,7 +86,7 @@
 func (e *Exchange) question() question {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.core.Question()
+	return e.core.question()
 }
 
 func (e *Exchange) confirmFrom(ctx context.Context, control netip.AddrPort) {
--- a/internal/exchange/contact.go
+++ b/internal/exchange/contact.go
@@ -97,8 +97,8 @@
 	return all
 }
 
-// Question returns what the host asks a control host for the present state with.
-func (c *Core) Question() question {
+// question returns what the host asks a control host for the present state with.
+func (c *Core) question() question {
 	return question{State: c.Node.State(), Statement: c.Members.Statement()}
 }
 
--- a/internal/exchange/mesh_test.go
+++ b/internal/exchange/mesh_test.go
@@ -157,7 +157,7 @@
 	case !m.passes(host, to) || !m.passes(to, host) || 2*m.oneWay >= stateTime:
 		m.after(stateTime+askPause, again)
 	default:
-		q := c.Question()
+		q := c.question()
 		m.after(m.oneWay, func() { m.tell(host, c, to, q) })
 		m.after(2*m.oneWay+askPause, again)
 	}
