Count the dropped log lines of all batches in the test

Cause: writing the lines took longer than the 20 ms after which a batch is taken, so that two batches were written, each with its word on dropped lines; the test read the first word alone, 36, and left out the second. 36 and the 988 of the second make 1,024. The test now has a batch taken in between on purpose and sums all words; the bounds are the same. 20 runs passed with the race detector.

--- a/internal/logqueue/logqueue_test.go
+++ b/internal/logqueue/logqueue_test.go
@@ -18,12 +18,18 @@
 // stuck is an output whose reader does not read until released.
 type stuck struct {
 	release chan struct{}
+	// entered gets an element at the first write, unless it is nil.
+	entered chan struct{}
 
 	mu   sync.Mutex
 	text bytes.Buffer
 }
 
 func (s *stuck) Write(p []byte) (int, error) {
+	select {
+	case s.entered <- struct{}{}:
+	default:
+	}
 	<-s.release
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,12 +63,16 @@
 // reads: each line is taken, the memory stays within its limit, and the number of
 // the lost lines is told once the reader goes on.
 func TestStuckReaderStopsNobody(t *testing.T) {
-	out := &stuck{release: make(chan struct{})}
+	out := &stuck{release: make(chan struct{}), entered: make(chan struct{}, 1)}
 	q := New(out)
 	line := bytes.Repeat([]byte("x"), 1023)
 	line = append(line, '\n')
 	const lines = 4 * limit / 1024
-	for range lines {
+	for i := range lines {
+		if i == lines/2 {
+			// A batch was taken, and its write waits for the reader.
+			<-out.entered
+		}
 		if n, err := q.Write(line); n != len(line) || err != nil {
 			t.Fatalf("got %d, %v, want the line taken", n, err)
 		}
@@ -79,13 +89,17 @@
 	}
 	text := out.String()
 	written := strings.Count(text, string(line))
-	var dropped int
-	at := strings.Index(text, `"log-lines-dropped" lines=`)
-	if at < 0 {
-		t.Fatal("got no word of the dropped lines, want their number")
+	dropped, words := 0, 0
+	for _, told := range strings.Split(text, `"log-lines-dropped" lines=`)[1:] {
+		var n int
+		if _, err := fmt.Sscanf(told, "%d", &n); err != nil {
+			t.Fatal(err)
+		}
+		dropped += n
+		words++
 	}
-	if _, err := fmt.Sscanf(text[at:], "\"log-lines-dropped\" lines=%d", &dropped); err != nil {
-		t.Fatal(err)
+	if words == 0 {
+		t.Fatal("got no word of the dropped lines, want their number")
 	}
 	if written+dropped != lines {
 		t.Errorf("got %d lines written and %d told as dropped, want %d together", written, dropped, lines)
