Log when a host is told to stop and which table it serves

Users report that a request was refused as an older version of the configuration says, longer after the acknowledgement of a newer one than the bound allows. The logs named the index of a change in one place and its version in another, and began a stop only after the handovers, so a host that serves an old table while it stops looked like one that is late.

stop-requested tells the signal from the begin of the stop, both lines of a change carry version and index, and a refusal of kind no-route names the version of the table that it went by.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -127,7 +127,10 @@
 		return &mustardramp.Denial{
 			Kind:   mustardramp.KindNoRoute,
 			Reason: "no route of the routing table begins the path, and no contract names the host",
-			Facts:  []mustardramp.Fact{{Name: "host", Value: host}},
+			Facts: []mustardramp.Fact{
+				{Name: "host", Value: host},
+				{Name: "version", Value: strconv.FormatUint(uint64(x.contractSet.Version()), 10)},
+			},
 		}
 	}
 	if x.contract == nil {
--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -71,7 +71,11 @@
 	case result.DecodeError != "":
 		return registry.Error.New("%s", result.DecodeError)
 	}
-	klog.InfoS("table-acknowledged", "version", table.Version, "held", result.TableInForce, "routes", len(table.Routes))
+	var index mustardramp.Index
+	if result.Change != nil {
+		index = result.Change.Index
+	}
+	klog.InfoS("table-acknowledged", "version", table.Version, "index", index, "held", result.TableInForce, "routes", len(table.Routes))
 	return nil
 }
 
--- a/internal/host/contracts.go
+++ b/internal/host/contracts.go
@@ -66,7 +66,7 @@
 	}
 	c.remember(set)
 	c.set.Store(set)
-	klog.InfoS("configuration-in-force", "index", set.Index, "services", len(set.Contracts()))
+	klog.InfoS("configuration-in-force", "index", set.Index, "version", set.Version(), "services", len(set.Contracts()))
 	if c.Changed != nil {
 		c.Changed(set)
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -49,11 +49,15 @@
 // stop waits until ctx ends, the host is drained or a part of it fails. It then
 // stops the traffic gracefully while the other parts still run.
 func (e *Entry) stop(ctx, inner, abort context.Context) error {
+	cause := "part failed"
 	select {
 	case <-ctx.Done():
+		cause = "signal"
 	case <-e.drained:
+		cause = "drain"
 	case <-inner.Done():
 	}
+	klog.InfoS("stop-requested", "cause", cause, "index", e.contracts.Index())
 	e.services.sendHandovers(inner)
 	e.exchange.Drain()
 	return e.traffic.Stop(abort)
