Begin a stop without waiting for other hosts

Callers saw 404 for a route that had been added, from a host that had been told to stop more than three seconds before.

Cause: a stop first sent its handovers, one service after the other, and waited up to a second for each that was not answered.

Evidence: stop-requested and stop-begun were 1.0 s apart at the hosts whose stops took 3.5 s. TestStoppedHostStaysReadyBesideFrozenHosts failed before: 1.6 s until the host was not ready, want at most 1 s.

Change: readiness falls and the stop delay begins at once; handovers of all services run beside it, at the same time, and the fleet learns that the host drains once they have ended.

--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -58,9 +58,17 @@
 	case <-inner.Done():
 	}
 	klog.InfoS("stop-requested", "cause", cause, "index", e.contracts.Index())
-	e.services.sendHandovers(inner)
-	e.exchange.Drain()
-	return e.traffic.Stop(abort)
+	var group errgroup.Group
+	group.Go(func() error {
+		// The hosts that take over learn what this one knows before they learn that
+		// it leaves.
+		e.services.sendHandovers(inner)
+		e.exchange.Drain()
+		return nil
+	})
+	err := e.traffic.Stop(abort)
+	_ = group.Wait()
+	return err
 }
 
 // watchRecords registers the handlers for records of other hosts.
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/entry"
 	"github.com/mustardramp/mustardramp/internal/lease"
@@ -150,9 +152,14 @@
 // sendHandovers sends the handovers of all services to the hosts that will keep
 // their slots after this one.
 func (s *services) sendHandovers(ctx context.Context) {
+	var group errgroup.Group
 	for _, r := range s.all() {
-		r.pool.SendHandovers(ctx)
+		group.Go(func() error {
+			r.pool.SendHandovers(ctx)
+			return nil
+		})
 	}
+	_ = group.Wait()
 }
 
 // setHosts passes the live entry hosts to all services.
