Deliver messages of a stream that began before the receiver's start

Callers of keyed routes were refused for 8 to 35 s after a control host had restarted and another was lost: no leader.

Cause: packets between members are numbered by stream, and a stream ends when a call fails. Two followers that had nothing to say while one of them restarted went on with the old stream, whose first packets the new process never got. It held all of them back until 64 waited.

TestMessagesHeldBackAfterARestart failed before: no message within 5 s of the restart; so did the two new cases of TestResequencerOrdersPackets.

Change: a packet states below which number all packets of the stream were answered, and the receiver waits for none of those. That cannot put packets out of order: an answered packet was passed on by this start or by an earlier one.

--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -41,6 +41,10 @@
 	Stream   uint64    `cbor:"2,keyasint"`
 	Number   uint64    `cbor:"3,keyasint"`
 	Messages []Message `cbor:"4,keyasint"`
+	// Answered is the number below which all packets of the stream were answered
+	// when this one was sent. The receiver need not wait for those: if it has not
+	// seen them, an earlier start of its host has.
+	Answered uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // packetReply is the empty reply to a packet.
@@ -201,10 +205,28 @@
 		r.buffered = map[uint64][]Message{}
 	}
 	r.buffered[p.Number] = p.Messages
+	due := r.takeBelow(p.Answered)
 	if len(r.buffered) >= maxBufferedPackets {
 		r.next = slices.Min(slices.Collect(maps.Keys(r.buffered)))
 	}
-	return r.takeDue()
+	return append(due, r.takeDue()...)
+}
+
+// takeBelow makes number the next one unless a later one is next. It removes the
+// buffered packets before it and returns their messages.
+func (r *resequencer) takeBelow(number uint64) []Message {
+	if number <= r.next {
+		return nil
+	}
+	r.next = number
+	var due []Message
+	for _, n := range slices.Sorted(maps.Keys(r.buffered)) {
+		if n < number {
+			due = append(due, r.buffered[n]...)
+			delete(r.buffered, n)
+		}
+	}
+	return due
 }
 
 // takeDue removes the buffered packets from the next number up to the first gap
@@ -234,6 +256,9 @@
 	// stream and number are those of the next packet.
 	stream uint64
 	number uint64
+	// unanswered holds the numbers of the packets of the stream that have no
+	// answer yet.
+	unanswered map[uint64]bool
 	// hasFailed is set after a failed call, until the next packet starts a new
 	// stream.
 	hasFailed bool
@@ -261,19 +286,42 @@
 		s.hasFailed = false
 		s.stream++
 		s.number = 0
+		s.unanswered = nil
 	}
 	count := 0
 	for size := 0; count < len(s.queue) && size < targetPacketBytes; count++ {
 		size += approximateSize(s.queue[count])
 	}
-	p := packet{From: s.links.self, Stream: s.stream, Number: s.number, Messages: s.queue[:count:count]}
+	p := packet{From: s.links.self, Stream: s.stream, Number: s.number, Messages: s.queue[:count:count], Answered: s.answered()}
 	s.queue = s.queue[count:]
 	if count > 0 {
+		if s.unanswered == nil {
+			s.unanswered = map[uint64]bool{}
+		}
+		s.unanswered[s.number] = true
 		s.number++
 	}
 	return p
 }
 
+// answered returns the number below which all packets of the stream are answered.
+func (s *hostSender) answered() uint64 {
+	lowest := s.number
+	for n := range s.unanswered {
+		lowest = min(lowest, n)
+	}
+	return lowest
+}
+
+// markAnswered records the answer to a packet.
+func (s *hostSender) markAnswered(p packet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.Stream == s.stream {
+		delete(s.unanswered, p.Number)
+	}
+}
+
 // approximateSize returns an estimate of the encoded size of a message, in bytes.
 func approximateSize(m Message) int {
 	size := 64
@@ -312,7 +360,11 @@
 	bounded, cancel := context.WithTimeout(ctx, packetTimeout)
 	defer cancel()
 	_, err := link.Call[packetReply](bounded, s.invoker, s.links.method, p)
-	if err == nil || ctx.Err() != nil {
+	if err == nil {
+		s.markAnswered(p)
+		return
+	}
+	if ctx.Err() != nil {
 		return
 	}
 	klog.V(1).InfoS("packet-lost", "method", s.links.method, "cause", err)
--- a/internal/quorum/links_test.go
+++ b/internal/quorum/links_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -19,6 +20,11 @@
 	packetOf := func(stream, number uint64) packet {
 		return packet{Stream: stream, Number: number, Messages: []Message{{Request: number}}}
 	}
+	afterAnswers := func(stream, number, answered uint64) packet {
+		p := packetOf(stream, number)
+		p.Answered = answered
+		return p
+	}
 	for name, tc := range map[string]struct {
 		packets []packet
 		want    []uint64
@@ -38,6 +44,14 @@
 			[]packet{packetOf(1<<40, 0), packetOf(8, 0), packetOf(8, 1)},
 			[]uint64{0, 0, 1},
 		},
+		"stream that began before the receiver's start": {
+			[]packet{afterAnswers(7, 5, 5), afterAnswers(7, 7, 5), afterAnswers(7, 6, 5)},
+			[]uint64{5, 6, 7},
+		},
+		"answered packets that an earlier start received": {
+			[]packet{packetOf(7, 0), packetOf(7, 3), afterAnswers(7, 6, 5), packetOf(7, 5)},
+			[]uint64{0, 3, 5, 6},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var r resequencer
@@ -74,6 +88,71 @@
 	}
 }
 
+// messageReceiver passes on the messages that it receives.
+type messageReceiver chan Message
+
+func (r messageReceiver) Receive(_ mustardramp.HostName, m Message) { r <- m }
+
+// TestMessagesHeldBackAfterARestart restarts the receiver of a stream while the
+// sender is silent. The next message must arrive at once, although the packets
+// before it went to the earlier start.
+func TestMessagesHeldBackAfterARestart(t *testing.T) {
+	const bound = 5 * time.Second
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	client := &link.Client{Address: address, RedialInterval: time.Millisecond}
+	sender := NewLinks("restarted", "host-1", map[mustardramp.HostName]link.Invoker{"host-2": client})
+	ctx, cancel := context.WithCancel(t.Context())
+	var work errgroup.Group
+	work.Go(func() error { return sender.Run(ctx) })
+	defer func() {
+		cancel()
+		_ = work.Wait()
+		_ = client.Close()
+	}()
+	for start := range uint64(2) {
+		received := make(messageReceiver, 16)
+		stop := serveLinks(t, "host-2", listener, received)
+		for i := range uint64(3) {
+			want := 10*start + i
+			sender.Send("host-2", Message{Request: want})
+			select {
+			case m := <-received:
+				if m.Request != want {
+					t.Errorf("start %d: got message %d, want %d", start, m.Request, want)
+				}
+			case <-time.After(bound):
+				t.Fatalf("start %d: message %d did not arrive within %v", start, want, bound)
+			}
+		}
+		stop()
+		if listener, err = net.Listen("tcp", address.String()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = listener.Close()
+}
+
+// serveLinks starts a host that passes messages of the group "restarted" to a
+// receiver. It returns a function that stops the host.
+func serveLinks(t *testing.T, host mustardramp.HostName, listener net.Listener, receiver Receiver) func() {
+	t.Helper()
+	server := &link.Server{}
+	NewLinks("restarted", host, nil).Serve(&server.Router, receiver)
+	ctx, cancel := context.WithCancel(t.Context())
+	var work errgroup.Group
+	work.Go(func() error { return server.Serve(ctx, listener) })
+	return func() {
+		cancel()
+		if err := work.Wait(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // linkedMember is a member with its own listener on loopback.
 type linkedMember struct {
 	group   *Group
