Keep hosts up to date that no control host counts as its own

Callers saw 404 for a route that had been added, from a host that served an older table than had been acknowledged 2 s before.

Cause: whether a host gets changes was decided by the views of other hosts. A host that drains has no links from any of them, although it serves until its stop ends; one whose nearest control host is cut off from the quorum gets none from the others, to which that one still counts as alive. And the host itself took each message of a control host as a sign that it was up to date, whatever changes the sender held, so it did not ask.

Of TestMessageOfAnOutdatedSenderCountsAsContact the case with other changes failed before. It takes the place of TestIsolatedControlHostDoesNotCountAsContact, whose two cases it keeps.

Change: a message is contact only if its sender is confirmed by a quorum and holds the same changes. A host without contact for 1.5 s asks, as before; one that drains asks at once. The control host that answers a serving host sends it changes directly for a minute, within the bound of direct hosts. The one that needs changes decides, so no view of it has to be right first. A poll of a host that started does not count: it becomes known to the nearest one by its statement.

--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -32,6 +32,8 @@
 type stateRequest struct {
 	State
 	Statement mustardramp.Record `cbor:"3,keyasint,omitempty"`
+	// Ready is set when the asking host serves.
+	Ready bool `cbor:"4,keyasint,omitempty"`
 }
 
 // handleState answers with the state that a quorum confirms. It fails on a
@@ -78,12 +80,41 @@
 		if control.IsValid() {
 			e.requestState(ctx, control)
 		}
-		if !sleep(ctx, next.Sub(e.now())) {
+		if !e.awaitStatePoll(ctx, next) {
 			return ctx.Err()
 		}
 	}
 }
 
+// awaitStatePoll waits until a time, or until the next poll is due if that is
+// earlier. It reports whether the context was still active at the end.
+func (e *Exchange) awaitStatePoll(ctx context.Context, next time.Time) bool {
+	e.mu.Lock()
+	e.statePollAt = next
+	e.mu.Unlock()
+	timer := time.NewTimer(next.Sub(e.now()))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-e.statePollWake:
+	}
+	return true
+}
+
+// advanceStatePoll wakes pollState if the next poll has become due earlier than it
+// waits for. The caller holds e.mu.
+func (e *Exchange) advanceStatePoll() {
+	if !e.core.StatePollDue().Before(e.statePollAt) {
+		return
+	}
+	select {
+	case e.statePollWake <- struct{}{}:
+	default:
+	}
+}
+
 func (e *Exchange) stateRequest() stateRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/exchange/direct_test.go
+++ b/internal/exchange/direct_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/membership"
 )
 
@@ -110,26 +112,73 @@
 	}
 }
 
-// TestIsolatedControlHostDoesNotCountAsContact sends an entry host the heartbeats of
-// a control host that no quorum confirms. The entry host must ask another control
-// host for the changes that the isolated one cannot know.
-func TestIsolatedControlHostDoesNotCountAsContact(t *testing.T) {
-	for test, isReady := range map[string]bool{"confirmed": true, "isolated": false} {
+// TestMessageOfAnOutdatedSenderCountsAsContact sends an entry host the heartbeats of
+// a control host that no quorum confirms, or whose changes differ from the entry
+// host's. Neither shows that the entry host is up to date, so it must ask a control
+// host.
+func TestMessageOfAnOutdatedSenderCountsAsContact(t *testing.T) {
+	for test, tc := range map[string]struct {
+		ready, differ, asks bool
+	}{
+		"confirmed":                     {ready: true},
+		"isolated":                      {asks: true},
+		"confirmed, with other changes": {ready: true, differ: true, asks: true},
+	} {
 		t.Run(test, func(t *testing.T) {
-			statement := newHost(0, membership.Control)
-			statement.Address, statement.Incarnation = hostAddress(0), 1
-			control := NewCore(start, statement, nil, 0)
+			control := newControlCore(0)
 			c := NewCore(start, newHost(9, membership.Entry), []netip.AddrPort{hostAddress(0)}, 0)
-			c.Offer(start, control.Members.Statement())
+			c.Offer(start, control.Members.Statement(), change("*", 1, 100))
 			c.Node.SetConfirmed(true)
+			digests := c.Node.Digests()
+			if tc.differ {
+				digests[mustardramp.RecordChange]++
+			}
 			for now := start.Add(minBatchPause); now.Sub(start) < 2*minSilenceLimit; now = now.Add(changesOnlyHeartbeat) {
-				if _, _, err := c.HandleRequest(now, &Request{From: control.Members.Self().Name, Ready: isReady}); err != nil {
+				if _, _, err := c.HandleRequest(now, &Request{From: control.Members.Self().Name, Ready: tc.ready, Digests: digests}); err != nil {
 					t.Fatal(err)
 				}
 			}
 			asked, _ := c.NextStatePoll(start.Add(2 * minSilenceLimit))
-			if asked.IsValid() == isReady {
-				t.Errorf("got a request to %v, want one: %t", asked, !isReady)
+			if asked.IsValid() != tc.asks {
+				t.Errorf("got a request to %v, want one: %t", asked, tc.asks)
+			}
+		})
+	}
+}
+
+// newControlCore returns a control host in the zone of its number.
+func newControlCore(number int) *Core {
+	statement := newHost(number, membership.Control)
+	statement.Address, statement.Incarnation = hostAddress(number), 1
+	return NewCore(start, statement, nil, 0)
+}
+
+// TestHostWithoutAFeedAsks lets a host that no control host sends changes to ask one
+// that is not the nearest. That one must send it changes for a time, whether the host
+// is stopping or another control host counts as nearer.
+func TestHostWithoutAFeedAsks(t *testing.T) {
+	for test, tc := range map[string]struct {
+		ready, leaving, isTarget bool
+	}{
+		"serving":  {ready: true, isTarget: true},
+		"stopping": {ready: true, leaving: true, isTarget: true},
+		"started":  {},
+	} {
+		t.Run(test, func(t *testing.T) {
+			control, nearest := newControlCore(1), newControlCore(0)
+			entry := newHost(len(zones), membership.Entry)
+			entry.Leaving = tc.leaving
+			c := NewCore(start, entry, nil, 0)
+			control.Offer(start, nearest.Members.Statement())
+			control.HandleStateRequest(start, stateRequest{Statement: c.Members.Statement(), Ready: tc.ready})
+			isTarget := func(now time.Time) bool {
+				return slices.ContainsFunc(control.Members.DirectTargets(now), func(h membership.Host) bool { return h.Name == entry.Name })
+			}
+			if got := isTarget(start.Add(time.Second)); got != tc.isTarget {
+				t.Errorf("got changes sent after the host asked: %t, want %t", got, tc.isTarget)
+			}
+			if isTarget(start.Add(time.Hour)) {
+				t.Error("got changes sent an hour later, want none")
 			}
 		})
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -67,6 +67,9 @@
 	closedUsage map[mustardramp.Distance]Usage
 	// probedHost is the lost host that is probed now, or empty.
 	probedHost mustardramp.HostName
+	// statePollAt is when pollState wakes by itself; statePollWake wakes it earlier.
+	statePollAt   time.Time
+	statePollWake chan struct{}
 	// controlSilent is set while this host asks control hosts and none answers.
 	controlSilent bool
 	// shortOfBudget is set while the budget holds catch-ups back.
@@ -87,11 +90,12 @@
 // makes its own calls while Run runs.
 func New(router *link.Router, o Options) *Exchange {
 	e := &Exchange{
-		options:     o,
-		clock:       o.Clock,
-		wake:        make(chan struct{}, 1),
-		links:       make(map[mustardramp.HostName]*peerClient),
-		closedUsage: make(map[mustardramp.Distance]Usage),
+		options:       o,
+		clock:         o.Clock,
+		wake:          make(chan struct{}, 1),
+		statePollWake: make(chan struct{}, 1),
+		links:         make(map[mustardramp.HostName]*peerClient),
+		closedUsage:   make(map[mustardramp.Distance]Usage),
 	}
 	if e.clock == nil {
 		e.clock = mustardramp.SystemClock{}
@@ -176,6 +180,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.publish(e.core.Drain(e.now()))
+	e.advanceStatePoll()
 }
 
 func (e *Exchange) now() time.Time {
@@ -301,6 +306,7 @@
 		klog.ErrorS(err, "response-rejected", "peer", s.To.Name)
 	}
 	e.publish(accepted)
+	e.advanceStatePoll()
 }
 
 // handleSync answers a peer's request.
@@ -312,5 +318,6 @@
 	defer e.mu.Unlock()
 	resp, accepted, err := e.core.HandleRequest(e.now(), r)
 	e.publish(accepted)
+	e.advanceStatePoll()
 	return resp, err
 }
--- a/internal/exchange/statepoller.go
+++ b/internal/exchange/statepoller.go
@@ -21,9 +21,11 @@
 )
 
 // statePoller decides when an entry host asks a control host for the confirmed
-// state: until the host is ready, and again after a time without contact with any
-// control host. After a network cut the views of both sides take seconds to merge,
-// and polling brings changes without that delay. The zero value asks at once.
+// state: until the host is ready, when it drains, and after a time without contact.
+// Contact is a message of a control host that a quorum confirms and that holds the
+// same changes as this host. Other messages do not show that this host is up to
+// date. After a network cut the views of both sides take seconds to merge, and
+// polling brings changes without that delay. The zero value asks at once.
 type statePoller struct {
 	lastContact time.Time
 	// silenceLimit is the time without contact after which the host asks; 0
@@ -33,17 +35,23 @@
 	earliest time.Time
 	// polls counts the requests since the last answer.
 	polls int
+	// isUrgent makes the host ask without a silence, until it gets an answer.
+	isUrgent bool
 }
 
-// noteContact records a message from a control host that a quorum confirms.
-func (p *statePoller) noteContact(now time.Time) {
-	p.lastContact, p.silenceLimit = now, minSilenceLimit
+// noteMessage records a message from a control host that a quorum confirms. One that
+// holds other changes is no contact, but shows that there may be news.
+func (p *statePoller) noteMessage(now time.Time, inSync bool) {
+	p.silenceLimit = minSilenceLimit
+	if inSync {
+		p.lastContact = now
+	}
 }
 
 // noteState records an answer. If it brought nothing new, the host waits longer
 // before it asks again.
 func (p *statePoller) noteState(now time.Time, isNew bool) {
-	p.lastContact, p.polls = now, 0
+	p.lastContact, p.polls, p.isUrgent = now, 0, false
 	p.silenceLimit = min(2*max(p.silenceLimit, minSilenceLimit), maxSilenceLimit)
 	if isNew {
 		p.silenceLimit = minSilenceLimit
@@ -52,7 +60,7 @@
 
 // due returns the time of the next request.
 func (p *statePoller) due(isReady bool) time.Time {
-	if !isReady {
+	if !isReady || p.isUrgent {
 		return p.earliest
 	}
 	return later(p.earliest, p.lastContact.Add(max(p.silenceLimit, minSilenceLimit)))
@@ -73,6 +81,12 @@
 	return hosts[(c.statePoller.polls-1)%len(hosts)], c.statePoller.earliest
 }
 
+// StatePollDue returns when NextStatePoll is due. A message or a drain can make it
+// due earlier than NextStatePoll said.
+func (c *Core) StatePollDue() time.Time {
+	return c.statePoller.due(c.Node.Ready())
+}
+
 // controlHosts lists the addresses of the known control hosts, nearest first, then
 // the seeds, which may be the only way to a control host after a start, and then
 // the control hosts counted as lost: after a network cut all of them are.
@@ -102,17 +116,23 @@
 
 // stateRequest returns the request for the confirmed state.
 func (c *Core) stateRequest() stateRequest {
-	return stateRequest{State: c.Node.State(), Statement: c.Members.Statement()}
+	return stateRequest{State: c.Node.State(), Statement: c.Members.Statement(), Ready: c.Node.Ready()}
 }
 
 // HandleStateRequest merges the statement of the asking host and returns the
 // accepted records. From these statements a control host that starts after all
-// control hosts were lost learns where to send changes, before any catch-up.
+// control hosts were lost learns where to send changes, before any catch-up. A
+// serving host gets further changes directly for a time.
 func (c *Core) HandleStateRequest(now time.Time, r stateRequest) []mustardramp.Record {
 	if r.Statement.Kind != mustardramp.RecordHost || r.Statement.Key == "" {
 		return nil
 	}
-	return c.Offer(now, r.Statement)
+	accepted := c.Offer(now, r.Statement)
+	if r.Ready {
+		// A started host becomes known to the nearest control host by its statement.
+		c.Members.Subscribe(now, mustardramp.HostName(r.Statement.Key))
+	}
+	return accepted
 }
 
 // HandleState merges the state that a control host confirmed. It returns the
--- a/internal/exchange/sync.go
+++ b/internal/exchange/sync.go
@@ -115,7 +115,7 @@
 	if l.fetch == nil {
 		n.releaseComparer(l)
 	}
-	n.ready.observe(to, resp.Ready, l.inSync(n.Digests(), resp.Digests))
+	n.ready.observe(to, resp.Ready, n.holdsChangesOf(resp.Digests))
 	return accepted, nil
 }
 
@@ -214,9 +214,9 @@
 	return mask
 }
 
-// inSync reports whether both ends hold the same changes.
-func (l *peerLink) inSync(mine, theirs Digests) bool {
-	return mine[mustardramp.RecordChange] == theirs[mustardramp.RecordChange]
+// holdsChangesOf reports whether this host holds the same changes as a peer.
+func (n *Node) holdsChangesOf(theirs Digests) bool {
+	return n.Digests()[mustardramp.RecordChange] == theirs[mustardramp.RecordChange]
 }
 
 // HandleFailure records that a request had no response. It queues what the request
--- a/internal/membership/direct.go
+++ b/internal/membership/direct.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/mustardramp/mustardramp"
 )
 
 // maxDirectTargets bounds the number of entry hosts to which one control host
@@ -11,9 +13,23 @@
 // larger fleet they cover a part, from which changes spread over the other links.
 const maxDirectTargets = 64
 
+// subscriptionTTL is the time for which a control host sends changes directly to a
+// serving host that asked it for the confirmed state. It is longer than most network
+// cuts last.
+const subscriptionTTL = time.Minute
+
+// Subscribe records that a serving entry host asked this control host for the
+// confirmed state. A host asks when no control host keeps it up to date, for example
+// because it is stopping or because the nearest one is cut off from a quorum.
+func (m *Members) Subscribe(now time.Time, host mustardramp.HostName) {
+	if e := m.members[host]; e != nil {
+		e.askedAt = now
+	}
+}
+
 // DirectTargets returns the entry hosts to which this control host sends changes
-// directly: those to which no other control host is nearer. It returns none on an
-// entry host.
+// directly: those to which no other control host is nearer, and then those that
+// asked it lately. It returns none on an entry host.
 func (m *Members) DirectTargets(now time.Time) []Host {
 	if m.self.Role != Control {
 		return nil
@@ -26,10 +42,29 @@
 			targets = append(targets, *h)
 		}
 	}
-	slices.SortFunc(targets, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	sortByName(targets)
+	targets = append(targets, m.subscribers(now, targets)...)
 	return targets[:min(len(targets), maxDirectTargets)]
 }
 
+// subscribers returns the entry hosts that asked this host within subscriptionTTL,
+// whatever their standing, except the given ones.
+func (m *Members) subscribers(now time.Time, except []Host) []Host {
+	var out []Host
+	for _, e := range m.members {
+		isKnown := func(h Host) bool { return h.Name == e.Host.Name }
+		if e.Host.Role == Entry && !e.askedAt.IsZero() && now.Sub(e.askedAt) < subscriptionTTL && !slices.ContainsFunc(except, isKnown) {
+			out = append(out, e.Host)
+		}
+	}
+	sortByName(out)
+	return out
+}
+
+func sortByName(hosts []Host) {
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // nearest returns the host nearest to another. A hash decides between hosts at the
 // same distance.
 func (h hostList) nearest(to *Host) *Host {
