Believe a refusal only if it is about the request

Another operator reports that a faulty backend wrote an earlier refusal once more on a kept connection: callers were told that a request had not run although it had, or it ran at a second backend. Both can happen here.

Cause: the refusal of a backend was read before the id of the answer was compared, and on any connection. Requests without retry and without once go out on pooled connections, so one that had run was also sent to a second backend.

Change: where answers bear ids the id decides, also for refusals; without an id only a refusal on a new connection is believed. Elsewhere a refusal on a connection that carried earlier requests means that the request may have run. Only idempotent requests use pooled connections. Bytes that arrive on a reused connection before the request is sent break it.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -67,6 +67,8 @@
 	responseStarted atomic.Bool
 
 	conn *backendConn
+	// reused is true if the connection has carried an earlier request.
+	reused bool
 	// startedAt is when the attempt was dispatched.
 	startedAt time.Time
 	// latency is the time to the header of the response.
@@ -239,9 +241,10 @@
 }
 
 // selectTransport selects a new connection for non-idempotent requests and for
-// bodies that cannot be sent again, and a pooled one otherwise.
+// bodies that cannot be sent again, and a pooled one otherwise. On a pooled one a
+// backend may write the refusal of an earlier request once more.
 func (x *exchange) selectTransport() *http.Transport {
-	if x.route.Once || x.body.stream != nil {
+	if !x.route.Idempotent() || x.body.stream != nil {
 		return x.h.transports.fresh
 	}
 	return x.h.transports.pooled
@@ -270,7 +273,7 @@
 		return
 	}
 	if a.conn == nil {
-		a.conn = c
+		a.conn, a.reused = c, info.Reused
 		c.bind(a)
 		return
 	}
@@ -435,6 +438,17 @@
 	return mustardramp.ResultShed, true
 }
 
+// provesNotRun reports whether a refusal of the backend is about this request. On a
+// connection that carried earlier requests it may be the refusal of one of those,
+// unless it bears the id of this request and ids are required.
+func (a *attempt) provesNotRun(response *http.Response) bool {
+	id, echoed := a.x.r.Header.Get(requestIDHeader), response.Header.Get(requestIDHeader)
+	if a.x.h.config.Headers.RequireRequestID && id != "" {
+		return echoed == id || echoed == "" && !a.reused
+	}
+	return !a.reused
+}
+
 // defaultShedRetryAfter is the time after which a caller may retry a shed
 // request if the backend states none. It is short because some backends shed a
 // random part of their requests.
--- a/internal/entry/backend_conn.go
+++ b/internal/entry/backend_conn.go
@@ -23,6 +23,8 @@
 	// owner is the attempt that the connection was last assigned to, or nil
 	// if the connection is unused or fenced.
 	owner *attempt
+	// reused is true once the connection has served an earlier attempt.
+	reused bool
 	// mayHaveSent is true once a byte of the attempt may have been sent.
 	mayHaveSent bool
 	// hasReceived is true once a byte has been received for the attempt.
@@ -40,6 +42,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.owner = a
+	c.reused = c.reused || c.mayHaveSent
 	c.mayHaveSent = false
 	c.hasReceived = false
 	c.header.reset()
@@ -76,9 +79,15 @@
 	return c.Conn.Write(p)
 }
 
-// Read receives bytes and captures the header of the response.
+// Read receives bytes and captures the header of the response. Bytes that arrive on
+// a reused connection before the request is sent belong to an earlier one, and
+// break the connection.
 func (c *backendConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.isEarly() {
+		c.markBroken()
+		return 0, errBroken
+	}
 	if n > 0 {
 		c.mu.Lock()
 		c.hasReceived = true
@@ -91,6 +100,14 @@
 	return n, err
 }
 
+// isEarly reports whether the connection is reused and no byte of the attempt was
+// sent.
+func (c *backendConn) isEarly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reused && !c.mayHaveSent
+}
+
 // connectionHeader returns the values of the response's Connection header.
 func (c *backendConn) connectionHeader() []string {
 	c.mu.Lock()
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -191,7 +191,8 @@
 
 // isGood reports whether the run got a response to relay.
 func (r *attemptRun) isGood() bool {
-	return r.response != nil && !r.isShed() && resultOfStatus(r.response.StatusCode) == mustardramp.ResultSuccess
+	return r.response != nil && !r.isShed() && r.attempt.mismatchReason(r.response) == "" &&
+		resultOfStatus(r.response.StatusCode) == mustardramp.ResultSuccess
 }
 
 func (r *attemptRun) isShed() bool {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -38,7 +38,8 @@
 	x.sendCount++
 	a.status = response.StatusCode
 	a.restoreConnectionHeader(response)
-	if result, ok := a.shedResult(response); ok {
+	result, isShed := a.shedResult(response)
+	if isShed && a.provesNotRun(response) {
 		denial := a.newShedDenial(response)
 		a.releaseSlot(result)
 		return &outcome{denial: denial, retryable: true}
@@ -49,6 +50,13 @@
 		a.releaseSlot(mustardramp.ResultInvalid)
 		return a.unusableResponse(mustardramp.KindBadAnswer, reason, nil)
 	}
+	if isShed {
+		a.conn.fence()
+		x.markMayHaveRun()
+		denial := a.newShedDenial(response)
+		a.releaseSlot(result)
+		return &outcome{denial: denial, retryable: x.route.Idempotent()}
+	}
 	x.markRan()
 	if x.route.RequireComplete && isCloseDelimited(response) {
 		a.releaseSlot(mustardramp.ResultInvalid)
