Refuse files that are nested too deeply before they are parsed

Another operator reports that one odd entry, very deeply nested, ended the machines that read it. It can happen here: a contract file of 200 KiB that consists of open brackets, or of dashes on one line, ended the process that parsed it, out of memory at 6 GB. The YAML parser keeps a path for each level, so its memory grows with the square of the depth; 50,000 nested mappings took 15 s.

The tokens are counted before they are parsed: at most 64 lists or mappings may be open at once in brackets, or begin on one line. Deeper block nesting needs so much indentation that the size limit bounds it.

--- a/pkg/contract/document.go
+++ b/pkg/contract/document.go
@@ -41,7 +41,12 @@
 
 // parseRoot parses the file and returns the fields of its single document.
 func (d *document) parseRoot(source []byte) []field {
-	file, err := parser.ParseBytes(source, 0)
+	tokens, at, tooDeep := tokenize(source)
+	if tooDeep {
+		d.addFault(at, "lists or mappings are nested more than "+strconv.Itoa(maxNesting)+" deep", "use the fields of a contract")
+		return nil
+	}
+	file, err := parser.Parse(tokens, 0)
 	if err != nil {
 		d.addFault(syntaxPosition(err), "not valid YAML", "mend the syntax near this place")
 		return nil
