Accept the records beside one that cannot be decoded

Records of a message were decoded as a whole, so one that a host could not decode kept all others of the message from it, and with them the exchange of two hosts. A key that is not UTF-8 is enough: it is encoded without an error and refused by the decoder. Records are decoded one by one now, and records-undecodable counts those left out.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,6 +72,8 @@
 	statePollWake chan struct{}
 	// controlSilent is set while this host asks control hosts and none answers.
 	controlSilent bool
+	// undecodable is the number of undecodable records that was logged last.
+	undecodable int
 	// shortOfBudget is set while the budget holds catch-ups back.
 	shortOfBudget bool
 
@@ -240,6 +242,10 @@
 		e.probedHost = lost
 		klog.InfoS("lost-host-probed", "host", lost)
 	}
+	if n := e.core.Node.Undecodable(); n != e.undecodable {
+		e.undecodable = n
+		klog.InfoS("records-undecodable", "count", n)
+	}
 	if isShort := e.core.Node.IsShortOfBudget(now); isShort != e.shortOfBudget {
 		e.shortOfBudget = isShort
 		klog.InfoS("exchange-budget", "short", isShort, "spent", e.core.Node.Spent())
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -517,6 +517,11 @@
 	return n.budget.pageBytes(now) < minPageBytes
 }
 
+// Undecodable returns the number of records of peers that could not be decoded.
+func (n *Node) Undecodable() int {
+	return n.packer.undecodable
+}
+
 // Spent returns the bytes that the budget has been charged with.
 func (n *Node) Spent() mustardramp.Bytes {
 	return n.budget.spent
--- a/internal/exchange/pack.go
+++ b/internal/exchange/pack.go
@@ -39,6 +39,8 @@
 	// savedShare is a moving average of the share of the length that compression
 	// saved, from 0 to 1.
 	savedShare float64
+	// undecodable counts the records that were left out.
+	undecodable int
 }
 
 // expectedRatio returns the share of a length that is expected to remain after
@@ -96,7 +98,8 @@
 	return plain, err
 }
 
-// unpack decodes the output of pack.
+// unpack decodes the output of pack. It leaves out records that cannot be decoded, so
+// that one of them does not keep the others from this host, and counts them.
 func (p *packer) unpack(packed []byte) ([]mustardramp.Record, error) {
 	if len(packed) == 0 {
 		return nil, nil
@@ -113,9 +116,18 @@
 	default:
 		return nil, ErrPack.New("unknown form %d", packed[0])
 	}
-	var records []mustardramp.Record
-	if err := cbor.Unmarshal(plain, &records); err != nil {
+	var encoded []cbor.RawMessage
+	if err := cbor.Unmarshal(plain, &encoded); err != nil {
 		return nil, ErrPack.Wrap(err)
 	}
+	records := make([]mustardramp.Record, 0, len(encoded))
+	for _, e := range encoded {
+		var r mustardramp.Record
+		if err := cbor.Unmarshal(e, &r); err != nil || r.Key == "" {
+			p.undecodable++
+			continue
+		}
+		records = append(records, r)
+	}
 	return records, nil
 }
