Refuse statements that no usable backend makes

Another operator reports that an odd entry stopped the machines that read the list from following it. Port 0, 2,000,000,000 slots and a sequence above the limit were answered 200 although the roster refuses them.

--- a/internal/host/backends.go
+++ b/internal/host/backends.go
@@ -11,6 +11,7 @@
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/registry"
+	"github.com/mustardramp/mustardramp/internal/roster"
 	"github.com/mustardramp/mustardramp/pkg/contract"
 )
 
@@ -23,16 +24,23 @@
 const expireInterval = 250 * time.Millisecond
 
 // Announce records the announcement that a backend made at this control host. If
-// the backend is leaving, that is committed before Announce returns.
+// the backend is leaving, that is committed before Announce returns. The incarnation
+// is the Unix time in milliseconds of the backend's start.
 func (c *Control) Announce(ctx context.Context, b mustardramp.Backend) error {
 	if b.State >= mustardramp.Leaving {
 		return c.Leave(ctx, b.Instance, b.Incarnation)
 	}
+	if err := roster.CheckStart(c.clock.Now(), b.Incarnation); err != nil {
+		return err
+	}
 	return c.roster.Announce(c.clock.Now(), b, c.config.Lease)
 }
 
 // Leave commits that an incarnation of a backend server takes no new work.
 func (c *Control) Leave(ctx context.Context, instance string, incarnation mustardramp.Incarnation) error {
+	if err := roster.CheckStart(c.clock.Now(), incarnation); err != nil {
+		return err
+	}
 	return c.contracts.Leave(ctx, registry.Departure{Instance: instance, Incarnation: incarnation})
 }
 
--- a/internal/roster/announce.go
+++ b/internal/roster/announce.go
@@ -15,10 +15,10 @@
 		lease = DefaultLease
 	}
 	if err := checkBackend(b); err != nil {
-		return nil, err
+		return nil, ErrInvalid.Wrap(err)
 	}
 	if err := checkLease(lease); err != nil {
-		return nil, err
+		return nil, ErrInvalid.Wrap(err)
 	}
 	e := r.entries[b.ID]
 	if e == nil && len(r.entries) >= MaxBackends {
--- a/internal/roster/validate.go
+++ b/internal/roster/validate.go
@@ -8,8 +8,17 @@
 	"github.com/mustardramp/mustardramp"
 )
 
+// maxStartAhead is how far the start of a backend may lie ahead of this host's clock.
+// It is many times the differences between the clocks of machines.
+const maxStartAhead = time.Hour
+
 // The classes of errors of an announcement or a record, one for each cause.
 var (
+	// ErrInvalid is the class of an announcement that no usable backend makes, as
+	// opposed to one that comes late. Its errors have the class of the cause too.
+	ErrInvalid = errs.Class("invalid announcement")
+	// ErrStart is the class of a start that lies ahead of this host's clock.
+	ErrStart = errs.Class("backend start")
 	// ErrID is the class of an id other than "service/address:port".
 	ErrID = errs.Class("backend id")
 	// ErrService is the class of an announcement without a service.
@@ -68,6 +77,16 @@
 	return nil
 }
 
+// CheckStart reports an incarnation that is the Unix time in milliseconds of a start
+// ahead of now. If it were believed, no later start of the backend would be.
+func CheckStart(now time.Time, incarnation mustardramp.Incarnation) error {
+	latest := mustardramp.Incarnation(now.Add(maxStartAhead).UnixMilli())
+	if incarnation > latest {
+		return ErrInvalid.Wrap(ErrStart.New("incarnation %d is more than %s ahead of the clock: use the Unix time of the start in ms", incarnation, maxStartAhead))
+	}
+	return nil
+}
+
 // checkLease reports a lease outside the limits.
 func checkLease(lease time.Duration) error {
 	if lease < MinLease || lease > MaxLease {
