Step all services at the same time

Leases are expired and renewed by these steps.

Reports, handovers and services no longer wait for each other; a step takes the time-out of one call at most. TestStepWaitsForSilentHostsInTurn failed before: 2 s for one service, want at most 1 s.

--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -144,18 +144,22 @@
 
 // step advances the leases of all services.
 func (s *services) step(ctx context.Context) {
-	for _, r := range s.all() {
-		r.pool.Step(ctx)
-	}
+	s.forEach(func(r *runningService) { r.pool.Step(ctx) })
 }
 
 // sendHandovers sends the handovers of all services to the hosts that will keep
 // their slots after this one.
 func (s *services) sendHandovers(ctx context.Context) {
+	s.forEach(func(r *runningService) { r.pool.SendHandovers(ctx) })
+}
+
+// forEach calls fn for all services at the same time, so that hosts that do not answer
+// for one service do not hold up the others.
+func (s *services) forEach(fn func(*runningService)) {
 	var group errgroup.Group
 	for _, r := range s.all() {
 		group.Go(func() error {
-			r.pool.SendHandovers(ctx)
+			fn(r)
 			return nil
 		})
 	}
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -402,8 +402,11 @@
 		})
 		return true
 	})
+	group.Go(func() error {
+		p.SendHandovers(ctx)
+		return nil
+	})
 	_ = group.Wait()
-	p.SendHandovers(ctx)
 }
 
 // Close waits until the queued returns are sent.
