--- a/internal/entry/repeated_refusal_test.go
+++ b/internal/entry/repeated_refusal_test.go
@@ -124,7 +124,7 @@
 // connection without earlier requests.
 func TestRefusalOfAnotherRequestOnANewConnection(t *testing.T) {
 	var runs sync.Map
-	f := newTableFixture(t, startBackend(t, func(w http.ResponseWriter, r *http.Request) {
+	f := newTableFixture(t, startBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 		runs.Store("first", true)
 		w.Header().Set(requestIDHeader, "other")
 		w.Header().Set("X-Not-Run", "1")
