--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -51,6 +51,7 @@
 		return a.unusableResponse(mustardramp.KindBadAnswer, reason, nil)
 	}
 	if isShed {
+		// This may be the refusal of an earlier request on the connection.
 		a.conn.fence()
 		x.markMayHaveRun()
 		denial := a.newShedDenial(response)
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -68,7 +68,7 @@
 			out = append(out, e.Host)
 		}
 	}
-	slices.SortFunc(out, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	sortByName(out)
 	return out
 }
 
