Reword and rename after a second reading

No behaviour changes, but for the text of one fault and the order in which a message from an unknown control host is judged, which is again that of before: it counts once the host is known, not while its statement is merged.

--- a/internal/entry/backend_conn.go
+++ b/internal/entry/backend_conn.go
@@ -84,7 +84,7 @@
 // break the connection.
 func (c *backendConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.isEarly() {
+	if n > 0 && c.isUnrequested() {
 		c.markBroken()
 		return 0, errBroken
 	}
@@ -100,9 +100,9 @@
 	return n, err
 }
 
-// isEarly reports whether the connection is reused and no byte of the attempt was
-// sent.
-func (c *backendConn) isEarly() bool {
+// isUnrequested reports whether bytes that arrive now belong to an earlier request:
+// the connection is reused and no byte of the attempt was sent.
+func (c *backendConn) isUnrequested() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.reused && !c.mayHaveSent
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -45,21 +45,20 @@
 // and the accepted records.
 func (c *Core) HandleRequest(now time.Time, r *Request) (*Response, []mustardramp.Record, error) {
 	resp, accepted, err := c.Node.HandleRequest(now, r)
-	accepted = c.learn(now, accepted)
 	if r.Ready && c.Members.IsControl(r.From) {
 		c.statePoller.noteMessage(now, c.Node.holdsChangesOf(r.Digests))
 	}
-	return resp, accepted, err
+	return resp, c.learn(now, accepted), err
 }
 
 // HandleResponse merges the response to a request. It returns the accepted
 // records.
 func (c *Core) HandleResponse(now time.Time, s Send, resp *Response) ([]mustardramp.Record, error) {
 	accepted, err := c.Node.HandleResponse(now, s.To.Name, s.Request, resp)
-	accepted = c.learn(now, accepted)
 	if s.To.Control && resp.Ready {
 		c.statePoller.noteMessage(now, c.Node.holdsChangesOf(resp.Digests))
 	}
+	accepted = c.learn(now, accepted)
 	return append(accepted, c.Offer(now, c.Members.ReportSuccess(now, s.To.Name)...)...), err
 }
 
@@ -79,7 +78,7 @@
 // hosts then hold no links to this one, so it asks a control host for the changes
 // that follow while it still serves.
 func (c *Core) Drain(now time.Time) []mustardramp.Record {
-	c.statePoller.isUrgent = true
+	c.statePoller.askNow = true
 	return c.Offer(now, c.Members.Drain())
 }
 
--- a/internal/exchange/direct_test.go
+++ b/internal/exchange/direct_test.go
@@ -153,10 +153,10 @@
 	return NewCore(start, statement, nil, 0)
 }
 
-// TestHostWithoutAFeedAsks lets a host that no control host sends changes to ask one
+// TestAskingHostGetsNoChanges lets a host that no control host sends changes to ask one
 // that is not the nearest. That one must send it changes for a time, whether the host
 // is stopping or another control host counts as nearer.
-func TestHostWithoutAFeedAsks(t *testing.T) {
+func TestAskingHostGetsNoChanges(t *testing.T) {
 	for test, tc := range map[string]struct {
 		ready, leaving, isTarget bool
 	}{
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,8 +72,8 @@
 	statePollWake chan struct{}
 	// controlSilent is set while this host asks control hosts and none answers.
 	controlSilent bool
-	// undecodable is the number of undecodable records that was logged last.
-	undecodable int
+	// undecodableCount is the number of undecodable records that was logged last.
+	undecodableCount int
 	// shortOfBudget is set while the budget holds catch-ups back.
 	shortOfBudget bool
 
@@ -242,8 +242,8 @@
 		e.probedHost = lost
 		klog.InfoS("lost-host-probed", "host", lost)
 	}
-	if n := e.core.Node.Undecodable(); n != e.undecodable {
-		e.undecodable = n
+	if n := e.core.Node.UndecodableCount(); n != e.undecodableCount {
+		e.undecodableCount = n
 		klog.InfoS("records-undecodable", "count", n)
 	}
 	if isShort := e.core.Node.IsShortOfBudget(now); isShort != e.shortOfBudget {
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -517,9 +517,9 @@
 	return n.budget.pageBytes(now) < minPageBytes
 }
 
-// Undecodable returns the number of records of peers that could not be decoded.
-func (n *Node) Undecodable() int {
-	return n.packer.undecodable
+// UndecodableCount returns the number of records of peers that could not be decoded.
+func (n *Node) UndecodableCount() int {
+	return n.packer.undecodableCount
 }
 
 // Spent returns the bytes that the budget has been charged with.
--- a/internal/exchange/pack.go
+++ b/internal/exchange/pack.go
@@ -39,8 +39,8 @@
 	// savedShare is a moving average of the share of the length that compression
 	// saved, from 0 to 1.
 	savedShare float64
-	// undecodable counts the records that were left out.
-	undecodable int
+	// undecodableCount counts the records that were left out.
+	undecodableCount int
 }
 
 // expectedRatio returns the share of a length that is expected to remain after
@@ -124,7 +124,7 @@
 	for _, e := range encoded {
 		var r mustardramp.Record
 		if err := cbor.Unmarshal(e, &r); err != nil || r.Key == "" {
-			p.undecodable++
+			p.undecodableCount++
 			continue
 		}
 		records = append(records, r)
--- a/internal/exchange/statepoller.go
+++ b/internal/exchange/statepoller.go
@@ -35,8 +35,8 @@
 	earliest time.Time
 	// polls counts the requests since the last answer.
 	polls int
-	// isUrgent makes the host ask without a silence, until it gets an answer.
-	isUrgent bool
+	// askNow makes the host ask without a silence, until it gets an answer.
+	askNow bool
 }
 
 // noteMessage records a message from a control host that a quorum confirms. One that
@@ -51,7 +51,7 @@
 // noteState records an answer. If it brought nothing new, the host waits longer
 // before it asks again.
 func (p *statePoller) noteState(now time.Time, isNew bool) {
-	p.lastContact, p.polls, p.isUrgent = now, 0, false
+	p.lastContact, p.polls, p.askNow = now, 0, false
 	p.silenceLimit = min(2*max(p.silenceLimit, minSilenceLimit), maxSilenceLimit)
 	if isNew {
 		p.silenceLimit = minSilenceLimit
@@ -60,7 +60,7 @@
 
 // due returns the time of the next request.
 func (p *statePoller) due(isReady bool) time.Time {
-	if !isReady || p.isUrgent {
+	if !isReady || p.askNow {
 		return p.earliest
 	}
 	return later(p.earliest, p.lastContact.Add(max(p.silenceLimit, minSilenceLimit)))
--- a/internal/exchange/stop_test.go
+++ b/internal/exchange/stop_test.go
@@ -16,6 +16,8 @@
 		hosts    = controls + 36
 		changes  = 20
 		pause    = 300 * time.Millisecond
+		size     = 3000 // bytes of a change
+		loss     = 0.03
 		// inForce is the time in which a change must be in force everywhere.
 		inForce = 2 * time.Second
 	)
@@ -26,7 +28,7 @@
 		t.Run(test, func(t *testing.T) {
 			for seed := range uint64(*randomSeeds) {
 				m := newMeshWithControls(t, seed, hosts, controls)
-				m.oneWayDelay, m.loss = oneWay, 0.03
+				m.oneWayDelay, m.loss = oneWay, loss
 				m.run(5 * time.Second)
 				for i := controls; i < hosts; i += 4 {
 					m.deliver(hostName(i), m.nodes[hostName(i)].Drain(m.now))
@@ -34,7 +36,7 @@
 				late := map[mustardramp.HostName]int{}
 				for i := range uint64(changes) {
 					for c := range controls {
-						m.offer(hostName(c), change("*", i+1, 3000))
+						m.offer(hostName(c), change("*", i+1, size))
 					}
 					m.after(inForce, func() {
 						for _, host := range m.names[controls:] {
--- a/internal/membership/direct.go
+++ b/internal/membership/direct.go
@@ -23,7 +23,7 @@
 // because it is stopping or because the nearest one is cut off from a quorum.
 func (m *Members) Subscribe(now time.Time, host mustardramp.HostName) {
 	if e := m.members[host]; e != nil {
-		e.askedAt = now
+		e.subscribedAt = now
 	}
 }
 
@@ -53,7 +53,7 @@
 	var out []Host
 	for _, e := range m.members {
 		isKnown := func(h Host) bool { return h.Name == e.Host.Name }
-		if e.Host.Role == Entry && !e.askedAt.IsZero() && now.Sub(e.askedAt) < subscriptionTTL && !slices.ContainsFunc(except, isKnown) {
+		if e.Host.Role == Entry && !e.subscribedAt.IsZero() && now.Sub(e.subscribedAt) < subscriptionTTL && !slices.ContainsFunc(except, isKnown) {
 			out = append(out, e.Host)
 		}
 	}
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -98,9 +98,9 @@
 	lastFailure  time.Time
 	// lastSuccess is when a call of this host to it was last answered.
 	lastSuccess time.Time
-	// askedAt is when the host last asked this control host for the confirmed
-	// state.
-	askedAt time.Time
+	// subscribedAt is when the serving host last asked this control host for the
+	// confirmed state.
+	subscribedAt time.Time
 }
 
 // New returns a view that holds the host itself. Its incarnation must be greater
--- a/internal/roster/validate.go
+++ b/internal/roster/validate.go
@@ -14,8 +14,8 @@
 
 // The classes of errors of an announcement or a record, one for each cause.
 var (
-	// ErrInvalid is the class of an announcement that no usable backend makes, as
-	// opposed to one that comes late. Its errors have the class of the cause too.
+	// ErrInvalid is the class of an announcement whose content is invalid, as opposed
+	// to one that is out of order. Its errors have the class of the cause too.
 	ErrInvalid = errs.Class("invalid announcement")
 	// ErrStart is the class of a start that lies ahead of this host's clock.
 	ErrStart = errs.Class("backend start")
--- a/pkg/contract/document.go
+++ b/pkg/contract/document.go
@@ -41,9 +41,9 @@
 
 // parseRoot parses the file and returns the fields of its single document.
 func (d *document) parseRoot(source []byte) []field {
-	tokens, at, tooDeep := tokenize(source)
-	if tooDeep {
-		d.addFault(at, "lists or mappings are nested more than "+strconv.Itoa(maxNesting)+" deep", "use the fields of a contract")
+	tokens, tooDeep := tokenize(source)
+	if tooDeep != nil {
+		d.addFault(tooDeep.at, tooDeep.Error(), "use the fields of a contract")
 		return nil
 	}
 	file, err := parser.Parse(tokens, 0)
--- a/pkg/contract/nesting.go
+++ b/pkg/contract/nesting.go
@@ -1,22 +1,27 @@
 package contract
 
 import (
+	"strconv"
+
 	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/token"
-	"github.com/zeebo/errs"
 )
 
-// errNesting is the class of errors for YAML that is nested too deeply.
-var errNesting = errs.Class("nesting")
-
 // maxNesting is the number of lists and mappings that may be open at once in brackets
 // or on one line. The memory that the YAML parser takes grows with its square.
 const maxNesting = 64
 
-// tokenize splits YAML into tokens. It returns the position of the first one that is
-// nested too deeply, and whether there is one.
-func tokenize(source []byte) (tokens token.Tokens, at position, tooDeep bool) {
-	tokens = lexer.Tokenize(string(source))
+// nestingError reports the first token that is nested too deeply.
+type nestingError struct{ at position }
+
+// Error implements error.
+func (e *nestingError) Error() string {
+	return "lists or mappings are nested more than " + strconv.Itoa(maxNesting) + " deep in line " + strconv.Itoa(e.at.line)
+}
+
+// tokenize splits YAML into tokens, which must not be nested too deeply.
+func tokenize(source []byte) (token.Tokens, *nestingError) {
+	tokens := lexer.Tokenize(string(source))
 	brackets, entries, line := 0, 0, 0
 	for _, t := range tokens {
 		if t.Position.Line != line {
@@ -31,8 +36,8 @@
 			entries++
 		}
 		if brackets > maxNesting || entries > maxNesting {
-			return nil, position{line, t.Position.Column}, true
+			return nil, &nestingError{position{line, t.Position.Column}}
 		}
 	}
-	return tokens, position{}, false
+	return tokens, nil
 }
--- a/pkg/contract/nesting_test.go
+++ b/pkg/contract/nesting_test.go
@@ -21,7 +21,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Parse(name, []byte(source))
-			if err == nil || !strings.Contains(err.Error(), "inside each other") && !strings.Contains(err.Error(), "nested more than") {
+			if err == nil || !strings.Contains(err.Error(), "nested more than") {
 				t.Errorf("got %.200v, want a fault that names the nesting", err)
 			}
 		})
--- a/pkg/contract/table.go
+++ b/pkg/contract/table.go
@@ -213,8 +213,8 @@
 // decodeTable decodes YAML or JSON. An unknown field is an error.
 func decodeTable(source []byte, t *Table) error {
 	if !bytes.HasPrefix(bytes.TrimLeft(source, " \t\r\n"), []byte("{")) {
-		if _, at, tooDeep := tokenize(source); tooDeep {
-			return errNesting.New("line %d: more than %d lists or mappings inside each other", at.line, maxNesting)
+		if _, tooDeep := tokenize(source); tooDeep != nil {
+			return tooDeep
 		}
 		converted, err := yaml.YAMLToJSON(source)
 		if err != nil {
