Bound the incarnations of backends at the product's own interface

The fault of a start far ahead was mended at control hosts, where an incarnation is a Unix time in milliseconds. At the interface for announcements its unit is the writer's, so the largest number was still accepted and hid every later start.

An incarnation above 2^62 is refused, in announcements and in records of other hosts. Two cases of TestAnnounceRefuses failed before: the announcement was accepted.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"testing"
@@ -65,6 +66,8 @@
 		"old incarnation":  {func(b *mustardramp.Backend) { b.Incarnation = 4 }, 0, &roster.ErrIncarnation},
 		"old sequence":     {func(b *mustardramp.Backend) { b.Sequence = 4 }, 0, &roster.ErrSequence},
 		"sequence reused":  {func(b *mustardramp.Backend) { b.Slots = 2 }, 0, &roster.ErrSequence},
+		"largest start":    {func(b *mustardramp.Backend) { b.Incarnation = math.MaxUint64 }, 0, &roster.ErrStart},
+		"start too big":    {func(b *mustardramp.Backend) { b.Incarnation = 1<<62 + 1 }, 0, &roster.ErrStart},
 		"sequence too big": {func(b *mustardramp.Backend) { b.Sequence = 1 << 62 }, 0, &roster.ErrSequence},
 	}
 	for name, test := range tests {
--- a/internal/roster/validate.go
+++ b/internal/roster/validate.go
@@ -12,12 +12,17 @@
 // It is many times the differences between the clocks of machines.
 const maxStartAhead = time.Hour
 
+// maxIncarnation bounds the incarnations of backends, whatever their unit. It is above
+// the Unix time in nanoseconds until the year 2116.
+const maxIncarnation mustardramp.Incarnation = 1 << 62
+
 // The classes of errors of an announcement or a record, one for each cause.
 var (
 	// ErrInvalid is the class of an announcement whose content is invalid, as opposed
 	// to one that is out of order. Its errors have the class of the cause too.
 	ErrInvalid = errs.Class("invalid announcement")
-	// ErrStart is the class of a start that lies ahead of this host's clock.
+	// ErrStart is the class of a start that lies too far ahead. If it were believed, no
+	// later start of the backend would be.
 	ErrStart = errs.Class("backend start")
 	// ErrID is the class of an id other than "service/address:port".
 	ErrID = errs.Class("backend id")
@@ -71,6 +76,8 @@
 		return ErrConnections.New("%d connections: use 1 to %d", b.Connections, MaxConnections)
 	case b.State > mustardramp.Gone:
 		return ErrState.New("unknown state %d", b.State)
+	case b.Incarnation > maxIncarnation:
+		return ErrStart.New("incarnation %d is larger than %d", b.Incarnation, uint64(maxIncarnation))
 	case b.Sequence > maxSequence:
 		return ErrSequence.New("sequence %d is larger than %d", b.Sequence, uint64(maxSequence))
 	}
@@ -78,7 +85,7 @@
 }
 
 // CheckStart reports an incarnation that is the Unix time in milliseconds of a start
-// ahead of now. If it were believed, no later start of the backend would be.
+// ahead of now.
 func CheckStart(now time.Time, incarnation mustardramp.Incarnation) error {
 	latest := mustardramp.Incarnation(now.Add(maxStartAhead).UnixMilli())
 	if incarnation > latest {
--- a/pkg/announce/announcement.go
+++ b/pkg/announce/announcement.go
@@ -28,7 +28,7 @@
 	Slots       mustardramp.Slots        `json:"slots,omitempty"`
 	Connections int                      `json:"connections,omitempty"`
 	State       mustardramp.BackendState `json:"state"`
-	// Incarnation is at least 1 and increases with each start of the backend.
+	// Incarnation is 1 to 2^62 and increases with each start of the backend.
 	Incarnation mustardramp.Incarnation `json:"incarnation"`
 	// Sequence increases with each announcement of an incarnation.
 	Sequence mustardramp.Sequence `json:"sequence"`
