Log when a control host begins to send changes to a host that asked

A control host decides to send changes directly to a host that no other one keeps up to date; the decision was not in its log. One line when it begins, none while it lasts.

--- a/internal/exchange/statepoller.go
+++ b/internal/exchange/statepoller.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/membership"
 )
@@ -128,9 +130,10 @@
 		return nil
 	}
 	accepted := c.Offer(now, r.Statement)
-	if r.Ready {
-		// A started host becomes known to the nearest control host by its statement.
-		c.Members.Subscribe(now, mustardramp.HostName(r.Statement.Key))
+	// A started host becomes known to the nearest control host by its statement.
+	host := mustardramp.HostName(r.Statement.Key)
+	if r.Ready && c.Members.Subscribe(now, host) {
+		klog.InfoS("direct-changes-begun", "host", host, "index", r.Newest)
 	}
 	return accepted
 }
--- a/internal/membership/direct.go
+++ b/internal/membership/direct.go
@@ -19,12 +19,22 @@
 const subscriptionTTL = time.Minute
 
 // Subscribe records that a serving entry host asked this control host for the
-// confirmed state. A host asks when no control host keeps it up to date, for example
-// because it is stopping or because the nearest one is cut off from a quorum.
-func (m *Members) Subscribe(now time.Time, host mustardramp.HostName) {
-	if e := m.members[host]; e != nil {
-		e.subscribedAt = now
+// confirmed state, and reports whether its subscription begins. A host asks when no
+// control host keeps it up to date, for example because it is stopping or because the
+// nearest one is cut off from a quorum.
+func (m *Members) Subscribe(now time.Time, host mustardramp.HostName) bool {
+	e := m.members[host]
+	if e == nil {
+		return false
 	}
+	begins := !e.isSubscribed(now)
+	e.subscribedAt = now
+	return begins
+}
+
+// isSubscribed reports whether the host asked within subscriptionTTL.
+func (e *member) isSubscribed(now time.Time) bool {
+	return !e.subscribedAt.IsZero() && now.Sub(e.subscribedAt) < subscriptionTTL
 }
 
 // DirectTargets returns the entry hosts to which this control host sends changes
@@ -53,7 +63,7 @@
 	var out []Host
 	for _, e := range m.members {
 		isKnown := func(h Host) bool { return h.Name == e.Host.Name }
-		if e.Host.Role == Entry && !e.subscribedAt.IsZero() && now.Sub(e.subscribedAt) < subscriptionTTL && !slices.ContainsFunc(except, isKnown) {
+		if e.Host.Role == Entry && e.isSubscribed(now) && !slices.ContainsFunc(except, isKnown) {
 			out = append(out, e.Host)
 		}
 	}
