--- a/design/types.go
+++ b/design/types.go
@@ -129,7 +129,10 @@
 	Attribute("weight", Float64)
 	Attribute("cause", String, "The evidence for the standing")
 	Attribute("incarnation", UInt64)
-	Required("id", "service", "address", "zone", "region", "slots", "connections", "state", "standing", "weight", "cause", "incarnation")
+	Attribute("stated", String, "What the backend stated in an answer to this host: leaving, quiet, or empty")
+	Attribute("quiet", Int64, "Milliseconds for which the backend wants no requests of this host")
+	Attribute("age", Int64, "Milliseconds since the backend stated this")
+	Required("id", "service", "address", "zone", "region", "slots", "connections", "state", "standing", "weight", "cause", "incarnation", "stated", "quiet", "age")
 })
 
 // FleetHost is a host as known to the host that answers.
--- a/gen/fleet/service.go
+++ b/gen/fleet/service.go
@@ -64,6 +64,12 @@
 	// The evidence for the standing
 	Cause       string
 	Incarnation uint64
+	// What the backend stated in an answer to this host: leaving, quiet, or empty
+	Stated string
+	// Milliseconds for which the backend wants no requests of this host
+	Quiet int64
+	// Milliseconds since the backend stated this
+	Age int64
 }
 
 // BackendsPayload is the payload type of the fleet service backends method.
--- a/gen/http/cli/mustardramp/cli.go
+++ b/gen/http/cli/mustardramp/cli.go
@@ -35,10 +35,10 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "ledger show --service \"Veritatis aut atque vitae facilis sequi.\" --caller \"Cum ipsa quaerat placeat dolores nobis aliquam.\" --key \"Iste vitae eos et fugiat sint.\" --token \"Inventore doloremque impedit voluptatem atque necessitatibus placeat.\"" + "\n" +
-		os.Args[0] + " " + "refusal show --id \"5h3\" --token \"Voluptas voluptas ut eveniet sed.\"" + "\n" +
-		os.Args[0] + " " + "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 5414181198861527275,\n            \"name\": \"dwe\",\n            \"source\": \"55l\"\n         }\n      ]\n   }' --token \"Esse soluta eligendi ducimus distinctio sed ex.\"" + "\n" +
-		os.Args[0] + " " + "fleet status --token \"Quia reprehenderit facilis suscipit occaecati.\"" + "\n" +
+	return os.Args[0] + " " + "ledger show --service \"Sequi quis cum.\" --caller \"Quaerat placeat dolores nobis aliquam et.\" --key \"Vitae eos.\" --token \"Fugiat sint sed.\"" + "\n" +
+		os.Args[0] + " " + "refusal show --id \"kl3\" --token \"Et dolores.\"" + "\n" +
+		os.Args[0] + " " + "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         },\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         }\n      ]\n   }' --token \"Sit qui.\"" + "\n" +
+		os.Args[0] + " " + "fleet status --token \"Eaque quo.\"" + "\n" +
 		""
 }
 
@@ -355,7 +355,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger show --service \"Veritatis aut atque vitae facilis sequi.\" --caller \"Cum ipsa quaerat placeat dolores nobis aliquam.\" --key \"Iste vitae eos et fugiat sint.\" --token \"Inventore doloremque impedit voluptatem atque necessitatibus placeat.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger show --service \"Sequi quis cum.\" --caller \"Quaerat placeat dolores nobis aliquam et.\" --key \"Vitae eos.\" --token \"Fugiat sint sed.\"")
 }
 
 func ledgerSettleUsage() {
@@ -375,7 +375,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger settle --body '{\n      \"caller\": \"Id facilis similique itaque numquam et molestias.\",\n      \"key\": \"Optio minima in.\",\n      \"outcome\": \"ran\",\n      \"service\": \"Consequatur minima sequi voluptas quia sequi.\",\n      \"who\": \"Tenetur suscipit ut deleniti vitae voluptate.\",\n      \"why\": \"Voluptatibus unde debitis.\"\n   }' --token \"Aliquid distinctio ea aut velit qui.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger settle --body '{\n      \"caller\": \"Eos consequatur minima.\",\n      \"key\": \"Voluptas quia sequi non.\",\n      \"outcome\": \"ran\",\n      \"service\": \"Sit nisi quae iure.\",\n      \"who\": \"Similique itaque numquam.\",\n      \"why\": \"Molestias rerum.\"\n   }' --token \"Minima in vel consequatur tenetur suscipit ut.\"")
 }
 
 // refusalUsage displays the usage of the refusal command and its subcommands.
@@ -406,7 +406,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal show --id \"5h3\" --token \"Voluptas voluptas ut eveniet sed.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal show --id \"kl3\" --token \"Et dolores.\"")
 }
 
 func refusalListUsage() {
@@ -434,7 +434,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal list --after \"Quo aliquam.\" --limit 953 --caller \"Dignissimos voluptas quia.\" --service \"Velit qui culpa id.\" --since \"1981-10-23T11:39:57Z\" --token \"Non voluptatum molestiae atque nihil et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal list --after \"Voluptatem adipisci beatae dicta.\" --limit 157 --caller \"Perspiciatis vel omnis.\" --service \"Est facilis.\" --since \"1975-06-25T23:16:30Z\" --token \"Neque consequatur omnis esse harum non doloremque.\"")
 }
 
 // contractUsage displays the usage of the contract command and its subcommands.
@@ -468,7 +468,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 5414181198861527275,\n            \"name\": \"dwe\",\n            \"source\": \"55l\"\n         }\n      ]\n   }' --token \"Esse soluta eligendi ducimus distinctio sed ex.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         },\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         }\n      ]\n   }' --token \"Sit qui.\"")
 }
 
 func contractPublishUsage() {
@@ -488,7 +488,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract publish --body '{\n      \"change\": \"w5\",\n      \"files\": [\n         {\n            \"base\": 5414181198861527275,\n            \"name\": \"dwe\",\n            \"source\": \"55l\"\n         },\n         {\n            \"base\": 5414181198861527275,\n            \"name\": \"dwe\",\n            \"source\": \"55l\"\n         }\n      ],\n      \"who\": \"2pq\",\n      \"why\": \"22b\"\n   }' --token \"Beatae nesciunt suscipit et temporibus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract publish --body '{\n      \"change\": \"h9\",\n      \"files\": [\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         },\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         }\n      ],\n      \"who\": \"dbi\",\n      \"why\": \"88j\"\n   }' --token \"Quis perspiciatis praesentium.\"")
 }
 
 func contractListUsage() {
@@ -510,7 +510,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract list --after \"Nemo aut esse incidunt est.\" --limit 645 --token \"A voluptates cumque saepe.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract list --after \"Porro voluptatem inventore.\" --limit 692 --token \"Voluptate itaque voluptatem necessitatibus.\"")
 }
 
 func contractShowUsage() {
@@ -532,7 +532,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract show --service \"Iure eos sed itaque sed.\" --revision 16195221966824318646 --token \"Dolor quis est dolor.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract show --service \"Nihil mollitia iusto deserunt voluptatem.\" --revision 11335618497779903498 --token \"Corrupti eos enim.\"")
 }
 
 func contractLogUsage() {
@@ -556,7 +556,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract log --after \"Esse aut id.\" --limit 615 --service \"Non ut velit.\" --token \"Aut quo quis quia nostrum.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract log --after \"Illo unde velit sunt deleniti culpa.\" --limit 12 --service \"Iure eos sed itaque sed.\" --token \"Eum dolor quis est.\"")
 }
 
 // fleetUsage displays the usage of the fleet command and its subcommands.
@@ -587,7 +587,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Quia reprehenderit facilis suscipit occaecati.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Eaque quo.\"")
 }
 
 func fleetBackendsUsage() {
@@ -611,7 +611,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet backends --after \"Placeat qui neque.\" --limit 586 --service \"Minus nesciunt dolores voluptatem.\" --token \"Provident sit quia temporibus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet backends --after \"Molestias dolor iure tempora voluptates.\" --limit 73 --service \"Dolor vero id accusantium sed.\" --token \"Aut ut expedita voluptatem natus sed et.\"")
 }
 
 func fleetDrainUsage() {
@@ -631,7 +631,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet drain --body '{\n      \"who\": \"Et aut quae esse.\",\n      \"why\": \"Est tempore autem dolores qui mollitia recusandae.\"\n   }' --token \"Tenetur recusandae debitis tempora.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet drain --body '{\n      \"who\": \"Reprehenderit laborum voluptas.\",\n      \"why\": \"Nemo ut.\"\n   }' --token \"Adipisci ipsa.\"")
 }
 
 func fleetMetricsUsage() {
@@ -655,5 +655,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet metrics --after \"Accusamus illo.\" --limit 294 --prefix \"Corrupti vero alias omnis optio quidem.\" --token \"Repellendus perferendis voluptates unde assumenda ut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet metrics --after \"Sequi beatae odit doloremque.\" --limit 354 --prefix \"Sed sed nemo aut eum et.\" --token \"Fugiat non aut autem velit deleniti sit.\"")
 }
--- a/gen/http/fleet/client/encode_decode.go
+++ b/gen/http/fleet/client/encode_decode.go
@@ -660,6 +660,9 @@
 		Weight:      *v.Weight,
 		Cause:       *v.Cause,
 		Incarnation: *v.Incarnation,
+		Stated:      *v.Stated,
+		Quiet:       *v.Quiet,
+		Age:         *v.Age,
 	}
 
 	return res
--- a/gen/http/fleet/client/types.go
+++ b/gen/http/fleet/client/types.go
@@ -413,6 +413,12 @@
 	// The evidence for the standing
 	Cause       *string `form:"cause,omitempty" json:"cause,omitempty" xml:"cause,omitempty"`
 	Incarnation *uint64 `form:"incarnation,omitempty" json:"incarnation,omitempty" xml:"incarnation,omitempty"`
+	// What the backend stated in an answer to this host: leaving, quiet, or empty
+	Stated *string `form:"stated,omitempty" json:"stated,omitempty" xml:"stated,omitempty"`
+	// Milliseconds for which the backend wants no requests of this host
+	Quiet *int64 `form:"quiet,omitempty" json:"quiet,omitempty" xml:"quiet,omitempty"`
+	// Milliseconds since the backend stated this
+	Age *int64 `form:"age,omitempty" json:"age,omitempty" xml:"age,omitempty"`
 }
 
 // HistogramResponseBody is used to define fields on response body types.
@@ -1407,6 +1413,15 @@
 	if body.Incarnation == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("incarnation", "body"))
 	}
+	if body.Stated == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stated", "body"))
+	}
+	if body.Quiet == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("quiet", "body"))
+	}
+	if body.Age == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("age", "body"))
+	}
 	return
 }
 
--- a/gen/http/fleet/server/encode_decode.go
+++ b/gen/http/fleet/server/encode_decode.go
@@ -633,6 +633,9 @@
 		Weight:      v.Weight,
 		Cause:       v.Cause,
 		Incarnation: v.Incarnation,
+		Stated:      v.Stated,
+		Quiet:       v.Quiet,
+		Age:         v.Age,
 	}
 
 	return res
--- a/gen/http/fleet/server/types.go
+++ b/gen/http/fleet/server/types.go
@@ -413,6 +413,12 @@
 	// The evidence for the standing
 	Cause       string `form:"cause" json:"cause" xml:"cause"`
 	Incarnation uint64 `form:"incarnation" json:"incarnation" xml:"incarnation"`
+	// What the backend stated in an answer to this host: leaving, quiet, or empty
+	Stated string `form:"stated" json:"stated" xml:"stated"`
+	// Milliseconds for which the backend wants no requests of this host
+	Quiet int64 `form:"quiet" json:"quiet" xml:"quiet"`
+	// Milliseconds since the backend stated this
+	Age int64 `form:"age" json:"age" xml:"age"`
 }
 
 // HistogramResponseBody is used to define fields on response body types.
--- a/internal/ejection/ejection.go
+++ b/internal/ejection/ejection.go
@@ -44,9 +44,6 @@
 	Place mustardramp.Place
 	// Terms returns the settings of a service; nil means defaultTerms.
 	Terms func(mustardramp.ServiceName) Terms
-	// OnLeaving, if not nil, is called on the request path when a backend answers
-	// that it is leaving.
-	OnLeaving func(mustardramp.Observation)
 	// PropagationDelay is the time within which a report reaches every host;
 	// 0 means DefaultPropagationDelay. An ejection is proposed to the other
 	// hosts twice this time before it takes effect.
@@ -85,9 +82,6 @@
 // Observe records the outcome of one attempt.
 func (e *Ejector) Observe(o mustardramp.Observation) {
 	e.tally.Observe(o)
-	if o.Result == mustardramp.ResultLeaving && e.OnLeaving != nil {
-		e.OnLeaving(o)
-	}
 }
 
 // Start counts an attempt that is being dispatched and returns its token.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,6 +24,7 @@
 	errStall                = errs.New("no byte of the answer came in time")
 	errAborted              = errs.New("the operator cut the requests in flight")
 	errTooManyInformational = errs.New("more informational answers than a backend may send")
+	errWithdrawn            = errs.New("the backend takes no more requests of this host")
 )
 
 // maxInformational limits the informational (1xx) responses before the final
@@ -122,6 +123,7 @@
 	a.latency = a.measureLatency()
 	if err == nil {
 		a.responseStarted.Store(true)
+		a.noteAnswer(response)
 	}
 	return response, err
 }
@@ -335,10 +337,16 @@
 	return &outcome{
 		denial:    denial,
 		unsent:    !mayHaveSent,
-		retryable: result != mustardramp.ResultAbandoned && (!mayHaveSent || x.route.Idempotent()),
+		retryable: a.isWithdrawn() || result != mustardramp.ResultAbandoned && (!mayHaveSent || x.route.Idempotent()),
 	}
 }
 
+// isWithdrawn reports whether the attempt was given up before a byte of it was sent,
+// because its backend takes no more requests of this host.
+func (a *attempt) isWithdrawn() bool {
+	return errors.Is(context.Cause(a.ctx), errWithdrawn)
+}
+
 // classifyError returns the result that a failure means for the backend, and
 // the denial for the caller.
 func (a *attempt) classifyError(err error, mayHaveSent bool) (mustardramp.Result, *mustardramp.Denial) {
@@ -352,6 +360,13 @@
 			Kind:   mustardramp.KindLost,
 			Reason: "another backend answered first",
 		}
+	case errors.Is(cause, errWithdrawn):
+		return mustardramp.ResultAbandoned, &mustardramp.Denial{
+			Kind:       mustardramp.KindQuiet,
+			Reason:     "the backend asked for no more requests before a byte left",
+			Facts:      a.backendFacts("error", err.Error()),
+			RetryAfter: x.h.withJitter(defaultShedRetryAfter),
+		}
 	case errors.Is(cause, errTimeout):
 		return mustardramp.ResultTimeout, &mustardramp.Denial{
 			Kind:   mustardramp.KindTimeout,
@@ -416,14 +431,12 @@
 // shedResult returns ResultShed or ResultLeaving, and true, if the backend declared
 // that it did not run the request.
 func (a *attempt) shedResult(response *http.Response) (mustardramp.Result, bool) {
-	headers := &a.x.h.config.Headers
-	if headers.Instance != "" && a.backend.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest {
-		// The address now belongs to another instance.
+	if a.isWrongInstance(response) {
 		return mustardramp.ResultLeaving, true
 	}
 	name := a.x.contract.Shed
 	if name == "" {
-		name = headers.NotRun
+		name = a.x.h.config.Headers.NotRun
 	}
 	if name == "" {
 		return 0, false
@@ -438,13 +451,17 @@
 	return mustardramp.ResultShed, true
 }
 
+// isWrongInstance reports whether the address now belongs to another instance.
+func (a *attempt) isWrongInstance(response *http.Response) bool {
+	return a.x.h.config.Headers.Instance != "" && a.backend.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest
+}
+
 // provesNotRun reports whether a refusal of the backend is about this request. On a
 // connection that carried earlier requests it may be the refusal of one of those,
 // unless it bears the id of this request and ids are required.
 func (a *attempt) provesNotRun(response *http.Response) bool {
-	id, echoed := a.x.r.Header.Get(requestIDHeader), response.Header.Get(requestIDHeader)
-	if a.x.h.config.Headers.RequireRequestID && id != "" {
-		return echoed == id || echoed == "" && !a.reused
+	if a.x.h.config.Headers.RequireRequestID && a.x.r.Header.Get(requestIDHeader) != "" {
+		return a.answersRequest(response)
 	}
 	return !a.reused
 }
@@ -461,8 +478,8 @@
 		Facts:  a.backendFacts("status", strconv.Itoa(response.StatusCode)),
 	}
 	denial.RetryAfter = a.x.h.withJitter(defaultShedRetryAfter)
-	if s, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && s > 0 {
-		denial.RetryAfter = time.Duration(s) * time.Second
+	if d, ok := parseDelay(response.Header.Get("Retry-After"), response.Header.Get("Date")); ok && d > 0 {
+		denial.RetryAfter = d
 	}
 	return denial
 }
--- a/internal/entry/backend_conn.go
+++ b/internal/entry/backend_conn.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/zeebo/errs"
+
+	"github.com/mustardramp/mustardramp"
 )
 
 var (
@@ -34,10 +36,13 @@
 	broken bool
 	// fenced is true once no further byte may be sent.
 	fenced bool
+	// incarnation is that of the backend to which the connection was opened.
+	incarnation mustardramp.Incarnation
 }
 
-// bind assigns the connection to an attempt. If the connection is broken, it is
-// fenced and the attempt canceled.
+// bind assigns the connection to an attempt. If the connection is broken or leads
+// to an earlier incarnation of the backend, it is fenced and the attempt canceled,
+// and also if the backend takes no more requests of this host.
 func (c *backendConn) bind(a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,8 +51,15 @@
 	c.mayHaveSent = false
 	c.hasReceived = false
 	c.header.reset()
-	if c.broken {
-		c.fenced = true
+	if !c.reused {
+		c.incarnation = a.backend.Incarnation
+	}
+	switch {
+	case a.slot.Withdrawn():
+		c.fenced, c.broken = true, true
+		a.cancel(errWithdrawn)
+	case c.broken || c.incarnation != a.backend.Incarnation:
+		c.fenced, c.broken = true, true
 		a.cancel(errBroken)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,7 +86,10 @@
 	Observer Observer
 	Watcher  mustardramp.Watcher
 	Recorder RequestRecorder
-	Clock    mustardramp.Clock
+	// Leaving is called with each backend that states in an answer that it is
+	// leaving. It may be nil.
+	Leaving func(mustardramp.Backend)
+	Clock   mustardramp.Clock
 	// Refusals stores recent refusals. If nil, the handler creates its own.
 	Refusals *refusal.Store
 	// CallerHeader names the header in which a trusted load balancer states the
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -57,6 +57,9 @@
 	results   []mustardramp.Result
 	demands   []mustardramp.Demand
 	heldSlots int
+	notices   []mustardramp.Notice
+	// withdrawn holds the backends whose slots are withdrawn once granted.
+	withdrawn map[mustardramp.BackendID]bool
 	// onAcquire may be nil. It is called at the start of Acquire.
 	onAcquire func()
 }
@@ -106,6 +109,18 @@
 
 func (s *fakeSlot) Backend() mustardramp.Backend { return s.backend }
 
+func (s *fakeSlot) Note(n mustardramp.Notice) {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.pool.notices = append(s.pool.notices, n)
+}
+
+func (s *fakeSlot) Withdrawn() bool {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	return s.pool.withdrawn[s.backend.ID]
+}
+
 func (s *fakeSlot) Release(result mustardramp.Result, _ time.Duration) {
 	if s.released.Swap(true) {
 		panic("a slot was released twice")
--- a/internal/entry/header_names.go
+++ b/internal/entry/header_names.go
@@ -20,6 +20,12 @@
 	// NotRun names the header of a response that tells that the backend did not
 	// run the request, for contracts that name no header for it.
 	NotRun string
+	// Leaving names the header of a response that tells that the backend is
+	// leaving, for contracts that name no header for it.
+	Leaving string
+	// Quiet names the header of a 503 that tells for how long the backend wants
+	// no requests of this host, for contracts that name no header for it.
+	Quiet string
 	// ResponseStamp names a header that each successful response of a backend must
 	// have. Empty means that none is required.
 	ResponseStamp string
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -40,7 +40,6 @@
 	e.contracts.Changed = e.services.apply
 	e.ejector = ejection.New(config.Name, e.incarnation, config.Place)
 	e.ejector.Terms = e.terms
-	e.ejector.OnLeaving = e.markLeaving
 	e.exchange = exchange.New(&e.server.Router, exchange.Options{
 		Self:  config.self(membership.Entry, e.LinkAddress(), e.AdminAddress(), e.incarnation),
 		Seeds: config.seeds(),
@@ -58,6 +57,7 @@
 		Ledger:       e.ledger,
 		Observer:     e.ejector,
 		Watcher:      e.ejector,
+		Leaving:      e.markLeaving,
 		Recorder:     &meteredRecorder{RequestRecorder: &e.tally, services: &e.services},
 		Clock:        e.clock,
 		Refusals:     &e.refusals,
@@ -100,11 +100,10 @@
 	return ejection.Terms{Floor: contract.DefaultFloor, Caution: contract.DefaultCaution}
 }
 
-// markLeaving marks a backend as leaving after it answered that it takes no new
-// work. The time that counts is when the request was dispatched.
-func (e *Entry) markLeaving(o mustardramp.Observation) {
-	if err := e.roster.Leave(e.clock.Now(), o.Backend, o.At.Add(-o.Latency)); err != nil {
-		klog.V(1).InfoS("leaving-not-recorded", "backend", o.Backend, "cause", err)
+// markLeaving marks a backend as leaving after it stated so in an answer.
+func (e *Entry) markLeaving(b mustardramp.Backend) {
+	if err := e.roster.Leave(e.clock.Now(), b); err != nil {
+		klog.InfoS("leaving-not-recorded", "backend", b.ID, "cause", err)
 	}
 }
 
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -12,6 +12,7 @@
 	"github.com/mustardramp/mustardramp"
 	fleetapi "github.com/mustardramp/mustardramp/gen/fleet"
 	"github.com/mustardramp/mustardramp/internal/exchange"
+	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/membership"
 	"github.com/mustardramp/mustardramp/internal/tally"
 	remote "github.com/mustardramp/mustardramp/pkg/admin"
@@ -161,9 +162,11 @@
 		if service != "" && service != string(name) {
 			continue
 		}
+		first := len(out)
 		for _, s := range r.Standings() {
 			out = append(out, standingOf(s))
 		}
+		addExclusions(out[first:], r.pool.Exclusions())
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
 	return out
@@ -179,6 +182,24 @@
 	}
 }
 
+// addExclusions adds what backends stated in answers to this host.
+func addExclusions(backends []*fleetapi.BackendStanding, exclusions []lease.Exclusion) {
+	byID := make(map[string]lease.Exclusion, len(exclusions))
+	for _, e := range exclusions {
+		byID[string(e.Backend)] = e
+	}
+	for _, b := range backends {
+		e, ok := byID[b.ID]
+		if !ok || uint64(e.Incarnation) != b.Incarnation {
+			continue
+		}
+		b.Stated, b.Quiet, b.Age = "quiet", e.Quiet.Milliseconds(), e.Age.Milliseconds()
+		if e.Leaving {
+			b.Stated = "leaving"
+		}
+	}
+}
+
 func standingName(s mustardramp.Standing) string {
 	switch {
 	case s.Backend.State != mustardramp.Serving:
--- a/internal/lease/choice.go
+++ b/internal/lease/choice.go
@@ -96,7 +96,7 @@
 // infinity when the group is skipped or can't serve the demand. The time at is in
 // Unix nanoseconds.
 func (p *Pool) cost(g *group, demand *mustardramp.Demand, skip map[GroupID]bool, at int64) float64 {
-	if skip[g.id] || !g.canServe(demand) {
+	if skip[g.id] || !g.canServe(demand) || p.isWithdrawnGroup(g, time.Unix(0, at)) {
 		return math.Inf(1)
 	}
 	d := p.config.Pool.Place.To(g.place)
--- /dev/null
+++ b/internal/lease/exclusion.go
@@ -0,0 +1,333 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// unreachablePeriod is how long this host excludes a backend that it failed to
+// dial. Other hosts may still use it.
+const unreachablePeriod = 2 * time.Second
+
+// forgetExclusionAfter is how long an exclusion is kept for a backend that is not in
+// the plan. Requests that were sent to it may still be in flight.
+const forgetExclusionAfter = time.Minute
+
+// exclusion is why this host must not use a backend that other hosts may use.
+type exclusion struct {
+	// incarnation is the one that the exclusion is about. A later one is not
+	// excluded.
+	incarnation mustardramp.Incarnation
+	// group is the group of the lease with which the backend was used last.
+	group GroupID
+	// unreachableUntil is the time until which the backend counts as unreachable
+	// after a failed dial, or zero.
+	unreachableUntil time.Time
+	// quietUntil is the time until which the backend wants no requests of this
+	// host, or zero.
+	quietUntil time.Time
+	// leaving is true once the backend has stated that it is leaving.
+	leaving bool
+	// notedAt is when the backend stated leaving or quietUntil, or zero.
+	notedAt time.Time
+	// changedAt is when the exclusion was last changed.
+	changedAt time.Time
+}
+
+// isWithdrawn reports whether the backend itself wants no requests of this host.
+func (e *exclusion) isWithdrawn(now time.Time) bool {
+	return e.leaving || now.Before(e.quietUntil)
+}
+
+// isActive reports whether this host must not use the backend.
+func (e *exclusion) isActive(now time.Time) bool {
+	return e.isWithdrawn(now) || now.Before(e.unreachableUntil)
+}
+
+// exclusions holds the exclusions of one service. Readers load the map through an
+// atomic pointer and must not change it; mu serializes writers. The zero value is
+// empty.
+type exclusions struct {
+	mu   sync.Mutex
+	byID atomic.Pointer[map[mustardramp.BackendID]exclusion]
+}
+
+// all returns the current map, which is nil if it was never changed.
+func (x *exclusions) all() map[mustardramp.BackendID]exclusion {
+	if m := x.byID.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
+// find returns the exclusion of a backend's incarnation.
+func (x *exclusions) find(b *mustardramp.Backend) (exclusion, bool) {
+	e, ok := x.all()[b.ID]
+	return e, ok && e.incarnation == b.Incarnation
+}
+
+// update changes the exclusion of a backend's incarnation. An older incarnation than
+// the known one is ignored.
+func (x *exclusions) update(now time.Time, b *mustardramp.Backend, group GroupID, change func(*exclusion)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e := x.all()[b.ID]
+	if e.incarnation > b.Incarnation {
+		return
+	}
+	if e.incarnation != b.Incarnation {
+		e = exclusion{incarnation: b.Incarnation}
+	}
+	e.group, e.changedAt = group, now
+	change(&e)
+	next := maps.Clone(x.all())
+	if next == nil {
+		next = map[mustardramp.BackendID]exclusion{}
+	}
+	next[b.ID] = e
+	x.byID.Store(&next)
+}
+
+// prune removes the exclusions that have ended or that a later incarnation in the
+// standings replaces.
+func (x *exclusions) prune(now time.Time, standings []mustardramp.Standing) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if len(x.all()) == 0 {
+		return
+	}
+	incarnations := make(map[mustardramp.BackendID]mustardramp.Incarnation, len(standings))
+	for i := range standings {
+		incarnations[standings[i].Backend.ID] = standings[i].Backend.Incarnation
+	}
+	next := maps.Clone(x.all())
+	maps.DeleteFunc(next, func(id mustardramp.BackendID, e exclusion) bool {
+		known, ok := incarnations[id]
+		isReplaced := ok && known > e.incarnation
+		isForgotten := !ok && now.Sub(e.changedAt) > forgetExclusionAfter
+		return !e.isActive(now) || isReplaced || isForgotten
+	})
+	x.byID.Store(&next)
+}
+
+// recordReachability records from the result of an attempt whether this host can
+// reach the backend.
+func (p *Pool) recordReachability(b *mustardramp.Backend, group GroupID, result mustardramp.Result) {
+	now := p.clock.Now()
+	switch result {
+	case mustardramp.ResultDial:
+		p.exclusions.update(now, b, group, func(e *exclusion) { e.unreachableUntil = now.Add(unreachablePeriod) })
+	case mustardramp.ResultSuccess:
+		if e, ok := p.exclusions.find(b); ok && now.Before(e.unreachableUntil) {
+			p.exclusions.update(now, b, group, func(e *exclusion) { e.unreachableUntil = time.Time{} })
+		}
+	}
+}
+
+// note excludes a backend as it asked for in an answer. If that was the last usable
+// backend of its group, the requests that wait there are given up.
+func (p *Pool) note(b *mustardramp.Backend, group GroupID, n mustardramp.Notice) {
+	now := p.clock.Now()
+	p.exclusions.update(now, b, group, func(e *exclusion) {
+		if n.Leaving && !e.leaving {
+			e.leaving, e.notedAt = true, now
+			klog.InfoS("backend-left-alone", "service", p.Service(), "backend", b.Address, "incarnation", b.Incarnation, "cause", "leaving")
+		}
+		until := now.Add(n.Quiet)
+		if n.Quiet > 0 && until.After(e.quietUntil) {
+			if !now.Before(e.quietUntil) {
+				klog.InfoS("backend-left-alone", "service", p.Service(), "backend", b.Address, "incarnation", b.Incarnation,
+					"cause", "quiet", "ms", n.Quiet.Milliseconds())
+			}
+			e.quietUntil, e.notedAt = until, now
+		}
+	})
+	if g := p.plan.Load().byID[group]; g != nil && p.isWithdrawnGroup(g, now) {
+		p.waiting.cancelGroup(group)
+	}
+}
+
+// errGroupWithdrawn cancels the requests that wait at a group of which no backend
+// takes requests of this host any more.
+var errGroupWithdrawn = errors.New("no backend of the group takes requests of this host")
+
+// waitingRequests holds the requests that wait for a slot by group. The zero value
+// is empty.
+type waitingRequests struct {
+	mu      sync.Mutex
+	byGroup map[GroupID]map[*waitingRequest]bool
+}
+
+// waitingRequest is one request that waits.
+type waitingRequest struct {
+	cancel context.CancelCauseFunc
+}
+
+func (w *waitingRequests) add(id GroupID, r *waitingRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.byGroup == nil {
+		w.byGroup = map[GroupID]map[*waitingRequest]bool{}
+	}
+	if w.byGroup[id] == nil {
+		w.byGroup[id] = map[*waitingRequest]bool{}
+	}
+	w.byGroup[id][r] = true
+}
+
+func (w *waitingRequests) remove(id GroupID, r *waitingRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.byGroup[id], r)
+}
+
+// cancelGroup cancels the requests that wait at a group.
+func (w *waitingRequests) cancelGroup(id GroupID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for r := range w.byGroup[id] {
+		r.cancel(errGroupWithdrawn)
+	}
+}
+
+// acquireUnlessWithdrawn acquires a slot of a group. It gives up waiting when no
+// backend of the group takes requests of this host any more.
+func (p *Pool) acquireUnlessWithdrawn(ctx context.Context, g *group, demand *mustardramp.Demand) (mustardramp.Slot, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r := &waitingRequest{cancel: cancel}
+	p.waiting.add(g.id, r)
+	defer p.waiting.remove(g.id, r)
+	slot, err := p.acquireFrom(ctx, g, demand)
+	if err != nil && errors.Is(context.Cause(ctx), errGroupWithdrawn) {
+		return nil, &mustardramp.Denial{
+			Kind:       mustardramp.KindNoBackend,
+			Reason:     "The backends of the group take no more requests of this host.",
+			RetryAfter: time.Second,
+		}
+	}
+	return slot, err
+}
+
+// isWithdrawn reports whether a backend wants no requests of this host.
+func (p *Pool) isWithdrawn(b *mustardramp.Backend) bool {
+	e, ok := p.exclusions.find(b)
+	return ok && e.isWithdrawn(p.clock.Now())
+}
+
+// excludedBackends returns the backends of the group that this host must not use.
+func (p *Pool) excludedBackends(g *group) []mustardramp.BackendID {
+	out := slices.Clip(slices.Clone(g.excluded))
+	now := p.clock.Now()
+	for id, e := range p.exclusions.all() {
+		if e.group == g.id && e.isActive(now) && !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// isWithdrawnGroup reports whether all usable backends of a group want no requests of
+// this host.
+func (p *Pool) isWithdrawnGroup(g *group, now time.Time) bool {
+	all := p.exclusions.all()
+	if len(all) < g.usable || g.usable == 0 {
+		return false
+	}
+	for i := range g.standings {
+		s := &g.standings[i]
+		if !s.Usable() {
+			continue
+		}
+		e, ok := all[s.Backend.ID]
+		if !ok || e.incarnation != s.Backend.Incarnation || !e.isWithdrawn(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// quietRemaining returns the time until the first usable backend accepts requests of
+// this host again, or 0 if none of them is quiet.
+func (p *Pool) quietRemaining(now time.Time) time.Duration {
+	var earliest time.Duration
+	for _, g := range p.plan.Load().groups {
+		for i := range g.standings {
+			e, ok := p.exclusions.find(&g.standings[i].Backend)
+			if !ok || e.leaving || !g.standings[i].Usable() || !now.Before(e.quietUntil) {
+				continue
+			}
+			if remaining := e.quietUntil.Sub(now); earliest == 0 || remaining < earliest {
+				earliest = remaining
+			}
+		}
+	}
+	return earliest
+}
+
+// quietSpread is the part of the remaining time by which the times differ after
+// which callers are told to return.
+const quietSpread = 0.3
+
+// withdrawnDenial returns the denial of a demand while all usable backends of the
+// service want no requests of this host and one of them is only quiet. It returns
+// nil at any other time.
+func (p *Pool) withdrawnDenial() *mustardramp.Denial {
+	now := p.clock.Now()
+	for _, g := range p.plan.Load().groups {
+		if g.usable > 0 && !p.isWithdrawnGroup(g, now) {
+			return nil
+		}
+	}
+	remaining := p.quietRemaining(now)
+	if remaining == 0 {
+		return nil
+	}
+	spread := 1 + quietSpread*rand.Float64()
+	return &mustardramp.Denial{
+		Kind:       mustardramp.KindQuiet,
+		Reason:     "Every usable backend of the service asked this host to send no requests for now.",
+		Facts:      []mustardramp.Fact{{Name: "remaining", Value: strconv.FormatInt(remaining.Milliseconds(), 10) + "ms"}},
+		RetryAfter: time.Duration(float64(remaining) * spread),
+	}
+}
+
+// Exclusion describes to operators why this host leaves a backend alone.
+type Exclusion struct {
+	Backend     mustardramp.BackendID
+	Incarnation mustardramp.Incarnation
+	// Leaving is true if the backend stated in an answer that it is leaving.
+	Leaving bool
+	// Quiet is how long the backend still wants no requests of this host, or 0.
+	Quiet time.Duration
+	// Age is the time since the backend stated this.
+	Age time.Duration
+}
+
+// Exclusions lists the backends that want no requests of this host, in no order.
+func (p *Pool) Exclusions() []Exclusion {
+	now := p.clock.Now()
+	var out []Exclusion
+	for id, e := range p.exclusions.all() {
+		if e.isWithdrawn(now) {
+			out = append(out, Exclusion{Backend: id, Incarnation: e.incarnation, Leaving: e.leaving, Quiet: max(0, e.quietUntil.Sub(now)), Age: now.Sub(e.notedAt)})
+		}
+	}
+	return out
+}
+
+// Service returns the name of the pool's service.
+func (p *Pool) Service() mustardramp.ServiceName {
+	return p.config.Pool.Terms.Service
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -70,6 +70,8 @@
 	Number  Number             `json:"number" cbor:"1,keyasint"`
 	Result  mustardramp.Result `json:"result" cbor:"2,keyasint"`
 	Latency time.Duration      `json:"latency" cbor:"3,keyasint"`
+	// Leaving is true if the backend stated that it is leaving.
+	Leaving bool `json:"leaving,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Report tells a keeper which leases of one holder have ended and which are in
--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -160,6 +160,7 @@
 		entry.cancelWait()
 		return
 	}
+	entry.slot.Note(mustardramp.Notice{Leaving: r.Leaving})
 	entry.slot.Release(r.Result, r.Latency)
 }
 
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -47,9 +47,10 @@
 	waits sync.Map
 	// peers maps a host name to its *peer.
 	peers sync.Map
-	// unreachable maps the ID of a backend that this host failed to reach to the
-	// time, in Unix nanoseconds, until which this host excludes it.
-	unreachable sync.Map
+	// exclusions holds the backends that this host must not use for now.
+	exclusions exclusions
+	// waiting holds the requests that wait for a slot.
+	waiting waitingRequests
 	// lessors maps a GroupID to its *lessor.
 	lessors sync.Map
 	// reporters are the goroutines that send returns.
@@ -162,6 +163,7 @@
 func (p *Pool) updatePlan(diff fleetDiff) {
 	next := newPlan(p.terms.Service, p.standings, p.fleet, p.plan.Load(), diff)
 	p.plan.Store(next)
+	p.exclusions.prune(p.clock.Now(), p.standings)
 	p.lessors.Range(func(id, l any) bool {
 		var standings []mustardramp.Standing
 		if g := next.byID[id.(GroupID)]; g != nil {
@@ -173,17 +175,35 @@
 	p.configureBudgets()
 }
 
+// maxWithdrawnGrants is how many slots of backends that want no requests of this host
+// one demand may be granted. A keeper grants such a slot only to a request that was
+// sent to it before the backend stated this.
+const maxWithdrawnGrants = 4
+
 // Acquire implements mustardramp.Pool.
 func (p *Pool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
 	demand.AlreadyCounted = len(demand.Tried) > 0
+	for range maxWithdrawnGrants {
+		slot, err := p.acquireOnce(ctx, &demand)
+		if err != nil || !slot.Withdrawn() {
+			return slot, err
+		}
+		slot.Release(mustardramp.ResultAbandoned, 0)
+	}
+	return nil, p.noGroupDenial(&demand)
+}
+
+// acquireOnce acquires a slot at a backend that is probably healthy, or at any
+// backend if there is none.
+func (p *Pool) acquireOnce(ctx context.Context, demand *mustardramp.Demand) (mustardramp.Slot, error) {
 	if demand.RequireHealthy = len(p.plan.Load().groups) > 1; demand.RequireHealthy {
-		slot, err := p.acquireAny(ctx, &demand)
+		slot, err := p.acquireAny(ctx, demand)
 		if err == nil || !canTryOtherGroup(err) {
 			return slot, err
 		}
 		demand.RequireHealthy = false
 	}
-	return p.acquireAny(ctx, &demand)
+	return p.acquireAny(ctx, demand)
 }
 
 // acquireAny tries the groups one after the other.
@@ -195,7 +215,7 @@
 		if g == nil {
 			break
 		}
-		slot, err := p.acquireFrom(ctx, g, demand)
+		slot, err := p.acquireUnlessWithdrawn(ctx, g, demand)
 		if err == nil || !canTryOtherGroup(err) {
 			return slot, err
 		}
@@ -206,7 +226,10 @@
 		skip[g.id] = true
 	}
 	if lastErr == nil {
-		lastErr = p.noGroupDenial(demand)
+		return nil, p.noGroupDenial(demand)
+	}
+	if denial := p.withdrawnDenial(); denial != nil {
+		return nil, denial
 	}
 	return nil, lastErr
 }
@@ -220,9 +243,12 @@
 
 // noGroupDenial returns the denial of a demand that no group may take.
 func (p *Pool) noGroupDenial(demand *mustardramp.Demand) *mustardramp.Denial {
-	plan := p.plan.Load()
+	if denial := p.withdrawnDenial(); denial != nil {
+		return denial
+	}
+	plan, now := p.plan.Load(), p.clock.Now()
 	for _, g := range plan.groups {
-		if g.canServe(demand) {
+		if g.canServe(demand) && !p.isWithdrawnGroup(g, now) {
 			return linkDenial(demand)
 		}
 	}
@@ -283,7 +309,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &localSlot{Slot: held, pool: p, rank: demand.Rank}, nil
+	return &localSlot{Slot: held, pool: p, group: g.id, rank: demand.Rank}, nil
 }
 
 // requestLease requests a lease from a peer.
@@ -316,7 +342,7 @@
 			mustardramp.Fact{Name: "keeper", Value: string(peer.name)})
 		return nil, &denial
 	}
-	return &slot{pool: p, peer: peer, number: request.Number, backend: response.Backend, rank: demand.Rank}, nil
+	return &slot{pool: p, peer: peer, group: g.id, number: request.Number, backend: response.Backend, rank: demand.Rank}, nil
 }
 
 // requestTimeout returns how long a keeper has to answer a request of the rank.
--- a/internal/lease/slot.go
+++ b/internal/lease/slot.go
@@ -11,9 +11,12 @@
 type slot struct {
 	pool    *Pool
 	peer    *peer
+	group   GroupID
 	number  Number
 	backend mustardramp.Backend
 	rank    mustardramp.Rank
+	// leaving is true once the backend has stated that it is leaving.
+	leaving bool
 }
 
 // Backend implements mustardramp.Slot.
@@ -21,10 +24,21 @@
 	return s.backend
 }
 
+// Note implements mustardramp.Slot.
+func (s *slot) Note(n mustardramp.Notice) {
+	s.leaving = n.Leaving
+	s.pool.note(&s.backend, s.group, n)
+}
+
+// Withdrawn implements mustardramp.Slot.
+func (s *slot) Withdrawn() bool {
+	return s.pool.isWithdrawn(&s.backend)
+}
+
 // Release implements mustardramp.Slot.
 func (s *slot) Release(result mustardramp.Result, latency time.Duration) {
-	s.pool.recordReachability(s.backend.ID, result)
-	s.pool.returnLease(s.peer, Return{Number: s.number, Result: result, Latency: latency})
+	s.pool.recordReachability(&s.backend, s.group, result)
+	s.pool.returnLease(s.peer, Return{Number: s.number, Result: result, Latency: latency, Leaving: s.leaving})
 	s.pool.observe(s.rank, result)
 }
 
@@ -32,13 +46,29 @@
 // mustardramp.Slot.
 type localSlot struct {
 	mustardramp.Slot
-	pool *Pool
-	rank mustardramp.Rank
+	pool  *Pool
+	group GroupID
+	rank  mustardramp.Rank
+}
+
+// Note implements mustardramp.Slot. A backend that is quiet towards this host may
+// still accept the requests of the other hosts that hold leases.
+func (s *localSlot) Note(n mustardramp.Notice) {
+	b := s.Backend()
+	s.pool.note(&b, s.group, n)
+	s.Slot.Note(mustardramp.Notice{Leaving: n.Leaving})
+}
+
+// Withdrawn implements mustardramp.Slot.
+func (s *localSlot) Withdrawn() bool {
+	b := s.Backend()
+	return s.pool.isWithdrawn(&b)
 }
 
 // Release implements mustardramp.Slot.
 func (s *localSlot) Release(result mustardramp.Result, latency time.Duration) {
-	s.pool.recordReachability(s.Backend().ID, result)
+	b := s.Backend()
+	s.pool.recordReachability(&b, s.group, result)
 	s.Slot.Release(result, latency)
 	s.pool.observe(s.rank, result)
 }
--- a/internal/pool/denial.go
+++ b/internal/pool/denial.go
@@ -28,7 +28,7 @@
 	crossRegion := 0
 	for d, tier := range v.tiers {
 		for _, m := range tier {
-			if m.leavingIncarnation.Load() == uint64(m.backend.Incarnation)+1 || slices.Contains(demand.Tried, m.backend.ID) {
+			if m.isLeaving() || slices.Contains(demand.Tried, m.backend.ID) {
 				continue
 			}
 			remaining++
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -92,7 +92,17 @@
 	if m.heldUntil.Load() > at {
 		return false
 	}
-	return m.leavingIncarnation.Load() != uint64(m.backend.Incarnation)+1
+	return !m.isLeaving()
+}
+
+// isLeaving reports whether the member's incarnation has stated that it is leaving.
+func (m *member) isLeaving() bool {
+	return m.leavingIncarnation.Load() == uint64(m.backend.Incarnation)+1
+}
+
+// setLeaving records that the member's incarnation is leaving.
+func (m *member) setLeaving() {
+	m.leavingIncarnation.Store(uint64(m.backend.Incarnation) + 1)
 }
 
 // hasRoom reports whether the member accepts one more attempt.
@@ -141,7 +151,7 @@
 	case mustardramp.ResultDial:
 		m.hold(now.Add(dialHold))
 	case mustardramp.ResultLeaving:
-		m.leavingIncarnation.Store(uint64(m.backend.Incarnation) + 1)
+		m.setLeaving()
 	case mustardramp.ResultSuccess:
 		m.increaseLimit(n)
 		updateMean(&m.latency, latency)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -130,6 +130,21 @@
 	pool *Pool
 }
 
+// Note implements mustardramp.Slot.
+func (s *slot) Note(n mustardramp.Notice) {
+	if n.Leaving {
+		s.member.setLeaving()
+	}
+	if n.Quiet > 0 {
+		s.member.hold(s.pool.clock.Now().Add(n.Quiet))
+	}
+}
+
+// Withdrawn implements mustardramp.Slot.
+func (s *slot) Withdrawn() bool {
+	return s.member.isLeaving()
+}
+
 // Release implements mustardramp.Slot.
 func (s *slot) Release(result mustardramp.Result, latency time.Duration) {
 	now := s.pool.clock.Now()
--- a/internal/roster/announce.go
+++ b/internal/roster/announce.go
@@ -40,18 +40,27 @@
 	return next.records()
 }
 
-// Leave records that a backend is leaving, as it stated in the answer to an
-// attempt dispatched at the given time. An attempt dispatched before this host
-// knew the incarnation is ignored, because an earlier one may have answered it.
-func (r *Roster) Leave(now time.Time, id mustardramp.BackendID, dispatched time.Time) ([]mustardramp.Record, error) {
-	e := r.entries[id]
-	if e == nil || dispatched.Before(e.knownSince) {
-		return nil, nil
+// Leave records that the incarnation of a backend is leaving, as it stated in an
+// answer. The host may not have heard of that incarnation yet, because another host
+// granted the slot. A later incarnation stays as it is.
+func (r *Roster) Leave(now time.Time, b mustardramp.Backend) ([]mustardramp.Record, error) {
+	if err := checkBackend(b); err != nil {
+		return nil, ErrInvalid.Wrap(err)
 	}
-	if e.statement.Backend.State >= mustardramp.Leaving {
-		return nil, nil
+	e := r.entries[b.ID]
+	if e == nil && len(r.entries) >= MaxBackends {
+		return nil, ErrFull.New("%d backends are known", len(r.entries))
+	}
+	next := statement{Backend: b}
+	if e != nil {
+		known := e.statement.Backend
+		if known.Incarnation > b.Incarnation || known.Incarnation == b.Incarnation && known.State >= mustardramp.Leaving {
+			return nil, nil
+		}
+		if known.Incarnation == b.Incarnation {
+			next = e.statement
+		}
 	}
-	next := e.statement
 	next.Backend.State = mustardramp.Leaving
 	r.put(now, next)
 	return next.records()
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -34,8 +34,8 @@
 }
 
 // Leave calls Roster.Leave and sends the records.
-func (t *Table) Leave(now time.Time, id mustardramp.BackendID, dispatched time.Time) error {
-	return t.update(func(r *Roster) ([]mustardramp.Record, error) { return r.Leave(now, id, dispatched) })
+func (t *Table) Leave(now time.Time, b mustardramp.Backend) error {
+	return t.update(func(r *Roster) ([]mustardramp.Record, error) { return r.Leave(now, b) })
 }
 
 // Depart calls Roster.Depart.
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,16 @@
 // a request. The contracts of the examples name it.
 const ShedHeader = "X-Shed"
 
+// Headers with which a stand-in states something about itself in its answers. The
+// contracts of the examples name them.
+const (
+	// LeavingHeader is "1" once the stand-in is leaving.
+	LeavingHeader = "X-Leaving"
+	// QuietHeader is the time in seconds for which the stand-in wants no requests
+	// of the host.
+	QuietHeader = "Retry-After"
+)
+
 // Values of ShedHeader.
 const (
 	// shedFull means that all slots are in use.
@@ -34,6 +45,9 @@
 	Hangs  float64
 	// Delay is added to the time of each request.
 	Delay time.Duration
+	// Quiet, if above 0, is the time for which the stand-in asks for no requests
+	// when it sheds one.
+	Quiet time.Duration
 }
 
 // Backend answers requests. The zero value is ready to use and has one slot.
@@ -46,6 +60,7 @@
 	Work time.Duration
 
 	fault    atomic.Pointer[Fault]
+	draining atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	mu       sync.Mutex
@@ -59,6 +74,12 @@
 	b.fault.Store(&f)
 }
 
+// Drain makes the backend state in all further answers that it is leaving, while it
+// still executes requests.
+func (b *Backend) Drain() {
+	b.draining.Store(true)
+}
+
 // Leave makes the backend shed all further requests and declare that it is
 // leaving.
 func (b *Backend) Leave() {
@@ -80,6 +101,9 @@
 // ServeHTTP executes the request, or sheds it when all slots are in use or the
 // backend is leaving.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.draining.Load() || b.leaving.Load() {
+		w.Header().Set(LeavingHeader, "1")
+	}
 	if b.leaving.Load() {
 		w.Header().Set(ShedHeader, shedLeaving)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -88,6 +112,9 @@
 	if b.inFlight.Add(1) > int64(max(b.Slots, 1)) {
 		b.inFlight.Add(-1)
 		w.Header().Set(ShedHeader, shedFull)
+		if f := b.fault.Load(); f != nil && f.Quiet > 0 {
+			w.Header().Set(QuietHeader, strconv.FormatFloat(f.Quiet.Seconds(), 'f', -1, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/kind.go
+++ b/kind.go
@@ -71,6 +71,9 @@
 	KindCallerGone
 	// KindBodyTooLarge means that the request body exceeds a limit.
 	KindBodyTooLarge
+	// KindQuiet means that every backend that may take the request wants no
+	// requests of this host for now.
+	KindQuiet
 	// KindCount is the number of kinds, KindUnknown included.
 	KindCount
 )
@@ -109,6 +112,7 @@
 	KindBadAnswer:       {"bad-answer", http.StatusBadGateway},
 	KindCallerGone:      {"caller-gone", http.StatusBadRequest},
 
+	KindQuiet:        {"quiet", http.StatusServiceUnavailable},
 	KindBodyTooLarge: {"body-too-large", http.StatusRequestEntityTooLarge},
 }
 
--- a/path.go
+++ b/path.go
@@ -37,11 +37,27 @@
 type Slot interface {
 	// Backend returns the backend that serves the attempt.
 	Backend() Backend
+	// Note reports what the backend stated about itself in its answer to the
+	// attempt. It is called before Release, and at most once.
+	Note(n Notice)
+	// Withdrawn reports whether the backend has stated since the slot was granted
+	// that it takes no requests of this host. The attempt must then not be sent.
+	Withdrawn() bool
 	// Release returns the slot and reports the result and latency of the
 	// attempt. It must be called exactly once.
 	Release(result Result, latency time.Duration)
 }
 
+// Notice is what a backend states about itself in an answer. The zero value states
+// nothing.
+type Notice struct {
+	// Leaving is true if the incarnation that answered takes no new requests of
+	// any host.
+	Leaving bool
+	// Quiet is how long the backend wants no requests of this host.
+	Quiet time.Duration
+}
+
 // Pool grants the slots of a service's backends. Waiting demands of a more
 // valuable rank are served first.
 type Pool interface {
--- a/pkg/cmd/backend/list/list.go
+++ b/pkg/cmd/backend/list/list.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/mustardramp/mustardramp/gen/fleet"
 	"github.com/mustardramp/mustardramp/pkg/cmd/factory"
@@ -58,8 +59,20 @@
 	for i, b := range items {
 		rows[i] = []string{
 			b.ID, b.Zone, strconv.Itoa(b.Slots), b.State, b.Standing,
-			strconv.FormatFloat(b.Weight, 'f', 2, 64), b.Cause,
+			strconv.FormatFloat(b.Weight, 'f', 2, 64), b.Cause, statedText(b),
 		}
 	}
-	return o.factory.Streams.Table([]string{"backend", "zone", "slots", "state", "standing", "weight", "cause"}, rows)
+	return o.factory.Streams.Table([]string{"backend", "zone", "slots", "state", "standing", "weight", "cause", "stated"}, rows)
+}
+
+// statedText describes what a backend stated in an answer to the host.
+func statedText(b *fleet.BackendStanding) string {
+	if b.Stated == "" {
+		return ""
+	}
+	text := b.Stated
+	if b.Quiet > 0 {
+		text += " for " + (time.Duration(b.Quiet) * time.Millisecond).String()
+	}
+	return text + ", answered " + (time.Duration(b.Age) * time.Millisecond).String() + " ago"
 }
--- a/pkg/cmd/backend/try/try.go
+++ b/pkg/cmd/backend/try/try.go
@@ -34,6 +34,7 @@
 	Errors   float64        `help:"Share of requests that end in status 500, 0 to 1."`
 	Cuts     float64        `help:"Share of requests whose answer is cut, 0 to 1."`
 	Hangs    float64        `help:"Share of requests that get no answer, 0 to 1."`
+	Quiet    time.Duration  `help:"Time for which a full backend asks for no requests; 0 for none."`
 
 	factory *factory.Factory
 }
@@ -58,7 +59,7 @@
 // announces that it leaves and stops.
 func (o *Options) Run(ctx context.Context) error {
 	backend := &standin.Backend{Name: o.Service + "@" + o.Listen.String(), Slots: o.Slots, Work: o.Work}
-	backend.Fail(standin.Fault{Errors: o.Errors, Cuts: o.Cuts, Hangs: o.Hangs})
+	backend.Fail(standin.Fault{Errors: o.Errors, Cuts: o.Cuts, Hangs: o.Hangs, Quiet: o.Quiet})
 	server := &http.Server{Addr: o.Listen.String(), Handler: backend}
 	announcer := o.newAnnouncer()
 	group, groupContext := errgroup.WithContext(context.WithoutCancel(ctx))
@@ -81,6 +82,7 @@
 			return server.Close()
 		case <-ctx.Done():
 		}
+		backend.Drain()
 		return o.leave(groupContext, announcer, server)
 	})
 	return group.Wait()
--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -49,6 +49,12 @@
 	// Shed is the name of the response header with which a backend declares that
 	// it did not run a request, or empty if there is none.
 	Shed string
+	// Leaving is the name of the response header with which a backend declares
+	// that it is leaving. It is empty if there is none.
+	Leaving string
+	// Quiet is the name of the header of a 503 with which a backend declares for
+	// how long it wants no requests. It is empty if there is none.
+	Quiet string
 	// Keep is the retention of the outcome of an operation with a key.
 	Keep time.Duration
 	// Ranks holds the settings of each rank.
--- a/pkg/contract/parse.go
+++ b/pkg/contract/parse.go
@@ -57,7 +57,7 @@
 
 // The known fields, for the remedies of faults.
 const (
-	contractFields = "service, hosts, home, floor, slots, connections, caution, budget, hedge, shed, keep, ranks, routes"
+	contractFields = "service, hosts, home, floor, slots, connections, caution, budget, hedge, shed, leaving, quiet, keep, ranks, routes"
 	rankFields     = "share, wait"
 	routeFields    = "path, methods, rank, retry, once, key, deadline, whole"
 )
@@ -146,6 +146,10 @@
 		c.Hedge = d.readBool(f)
 	case "shed":
 		c.Shed = d.readHeader(f)
+	case "leaving":
+		c.Leaving = d.readHeader(f)
+	case "quiet":
+		c.Quiet = d.readHeader(f)
 	case "keep":
 		c.Keep = d.readDuration(f, MinKeep, MaxKeep)
 	case "ranks":
