End requests with an answer before the end of a planned stop

Cause: a stop waited for the requests in flight without a limit, and nothing compared what a request may still take with the time until the process is ended from outside: the host takes requests until 2.5 s into a grace of 6 or 10 s, and routes allow 5 s to 10 min.

Change: a stop knows its grace (--grace; the platform's gracePeriod). A request that is not likely to end in it is refused at once as not run, any other one gets its deadline cut to 0.5 s before the end, and so does the backend. What is still in flight then is answered, after the reads of bodies that do not come were ended. The refusal of a stopping host says to return after 0.1 s instead of 1 s, since other hosts have room.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"errors"
 	"io"
@@ -58,8 +59,10 @@
 
 // uploadReader reads a caller's body for one attempt.
 type uploadReader struct {
-	source       io.Reader
-	controller   *http.ResponseController
+	source     io.Reader
+	controller *http.ResponseController
+	// root ends when the requests in flight are aborted.
+	root         context.Context
 	stallTimeout time.Duration
 	used         atomic.Bool
 	// failed is true if the caller did not send the whole body.
@@ -72,6 +75,10 @@
 func (u *uploadReader) Read(p []byte) (int, error) {
 	u.used.Store(true)
 	_ = u.controller.SetReadDeadline(time.Now().Add(u.stallTimeout))
+	if u.root.Err() != nil {
+		// interrupt may have run before the deadline was set.
+		u.interrupt()
+	}
 	n, err := u.source.Read(p)
 	if err == nil {
 		return n, nil
@@ -85,6 +92,19 @@
 	return n, errUpload.Wrap(err)
 }
 
+// interruptIfAborted ends a Read that waits for the caller if the requests in flight
+// were aborted.
+func (u *uploadReader) interruptIfAborted() {
+	if u.root.Err() != nil {
+		u.interrupt()
+	}
+}
+
+// interrupt ends a Read that waits for the caller.
+func (u *uploadReader) interrupt() {
+	_ = u.controller.SetReadDeadline(time.Now())
+}
+
 // Close leaves the caller's body open: the server closes it after the
 // request, and another attempt may still read from it.
 func (u *uploadReader) Close() error {
@@ -97,7 +117,8 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	stream := &uploadReader{source: x.h.inbound.Reader(x.r.Context(), x.r.Body), controller: x.responseController(), stallTimeout: x.h.config.StallTimeout}
+	stream := &uploadReader{source: x.h.inbound.Reader(x.r.Context(), x.r.Body), controller: x.responseController(), root: x.h.root, stallTimeout: x.h.config.StallTimeout}
+	context.AfterFunc(x.r.Context(), stream.interruptIfAborted)
 	length := x.r.ContentLength
 	if x.key == "" && (length < 0 || length > MaxReplayBytes) {
 		x.streamBody(stream)
@@ -158,6 +179,9 @@
 	} else {
 		x.body.buffered, err = io.ReadAll(io.LimitReader(stream, MaxKeyedBytes+1))
 	}
+	if err != nil && x.h.root.Err() != nil {
+		return x.interruptedDenial(x.h.root)
+	}
 	if err != nil {
 		return &mustardramp.Denial{Kind: mustardramp.KindCallerGone, Reason: "the request's body ended early"}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,8 @@
 	// retried.
 	Budget mustardramp.RetryBudget
 
+	// typicalTimes holds how long answered requests took.
+	typicalTimes typicalTimes
 	// hedgeOnce sets the budget of hedge on first use.
 	hedgeOnce sync.Once
 	// hedge tracks read latencies for contracts that enable hedging.
@@ -125,6 +127,9 @@
 	// stopping makes it refuse new requests.
 	draining atomic.Bool
 	stopping atomic.Bool
+	// stopEnd is when the requests in flight are ended, or nil while the host is
+	// not stopping or has no limit for that.
+	stopEnd  atomic.Pointer[time.Time]
 	settler  settler
 	splitter splitter
 	// root is canceled when the operator aborts the requests in flight. The
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -70,6 +70,7 @@
 	(*exchange).findRoute,
 	(*exchange).findService,
 	(*exchange).findDeadline,
+	(*exchange).checkGrace,
 	(*exchange).findKey,
 	(*exchange).readBody,
 }
@@ -78,11 +79,7 @@
 	if !x.h.stopping.Load() {
 		return nil
 	}
-	return &mustardramp.Denial{
-		Kind:       mustardramp.KindStopping,
-		Reason:     "the host is shutting down; another one takes the request",
-		RetryAfter: time.Second,
-	}
+	return stoppingDenial()
 }
 
 // findTableRoute looks the request up in the routing table. A request without
@@ -305,7 +302,7 @@
 // interruptedDenial returns the denial for a request whose context ended.
 func (x *exchange) interruptedDenial(ctx context.Context) *mustardramp.Denial {
 	if errors.Is(context.Cause(ctx), errAborted) {
-		return &mustardramp.Denial{Kind: mustardramp.KindStopping, Reason: "the host was stopped at once"}
+		return &mustardramp.Denial{Kind: mustardramp.KindStopping, Reason: "the host had to end before the request did"}
 	}
 	return &mustardramp.Denial{Kind: mustardramp.KindCallerGone, Reason: "the caller went away"}
 }
@@ -347,6 +344,9 @@
 // finish releases the request's memory and records its measurements.
 func (x *exchange) finish() {
 	x.releaseBodyMemory()
+	if x.service != nil && x.refusalKind == mustardramp.KindUnknown {
+		x.service.typicalTimes.observe(x.route.Rank, x.h.config.Clock.Now().Sub(x.arrived))
+	}
 	if x.h.config.Recorder == nil || x.route == nil {
 		return
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -135,7 +135,7 @@
 	cause := context.Cause(a.ctx)
 	switch {
 	case errors.Is(cause, errAborted):
-		return mustardramp.ResultAbandoned, mustardramp.KindStopping, "the host was stopped at once"
+		return mustardramp.ResultAbandoned, mustardramp.KindStopping, "the host had to end before the request did"
 	case errors.Is(cause, errStall), errors.Is(cause, errTimeout):
 		return mustardramp.ResultTimeout, mustardramp.KindTruncated, "the backend's answer stalled"
 	case !a.x.route.Once && a.x.r.Context().Err() != nil:
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,9 @@
 	callerIdleTimeout = 2 * time.Minute
 	// abortGrace is how long aborted requests may take to send their refusal.
 	abortGrace = time.Second
+	// lastWriteTime is the time for the server to write the answers of handlers
+	// that have returned.
+	lastWriteTime = 50 * time.Millisecond
 	// settlementGrace limits the wait for settlements that the ledger has not
 	// confirmed when the last request ends.
 	settlementGrace      = 10 * time.Second
@@ -32,6 +35,9 @@
 	// StopDelay is the time between reporting not ready and closing the
 	// listener. It lets a load balancer direct new requests to other hosts.
 	StopDelay time.Duration
+	// Grace is the time after the begin of a stop at which the process is ended from
+	// outside. Zero means that a stop may take as long as the requests in flight.
+	Grace time.Duration
 	// TLS may be nil; then callers connect in plain text.
 	TLS *tls.Config
 
@@ -88,11 +94,19 @@
 
 // Stop shuts the server down gracefully. The server reports not ready and
 // closes each connection after its response. After StopDelay it refuses new
-// requests and accepts no connections. It then waits, without a time limit,
-// for the requests in flight and, for up to settlementGrace, for the
-// settlements. If the context ends, the requests in flight are aborted.
+// requests and accepts no connections. It then waits for the requests in flight
+// and, for up to settlementGrace, for the settlements. If the context ends, or
+// shortly before the end of Grace, the requests in flight are aborted.
 func (s *Server) Stop(ctx context.Context) error {
-	klog.InfoS("stop-begun", "in-flight", s.Handler.InFlight())
+	klog.InfoS("stop-begun", "in-flight", s.Handler.InFlight(), "grace", s.Grace)
+	if s.Grace > 0 {
+		remaining := s.Grace - closingTime(s.Grace)
+		end := s.Handler.config.Clock.Now().Add(remaining)
+		s.Handler.stopEnd.Store(&end)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, remaining)
+		defer cancel()
+	}
 	s.ready.Store(false)
 	s.Handler.draining.Store(true)
 	sleep(ctx, s.StopDelay)
@@ -113,6 +127,8 @@
 	klog.InfoS("stop-aborted", "in-flight", s.Handler.InFlight())
 	s.Handler.cancelRoot(errAborted)
 	s.waitUntilIdle(abortGrace)
+	// The last answers are written after their handlers have returned.
+	time.Sleep(lastWriteTime)
 	err := s.server.Close()
 	s.waitUntilIdle(abortGrace)
 	return err
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -66,6 +66,7 @@
 		LinkRate:     config.LinkRate,
 	})
 	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.tlsConfigs.traffic)
+	e.traffic.Grace = config.Grace
 	e.handlePeerCalls()
 }
 
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -44,6 +44,9 @@
 	// StopDelay is the time from reporting that the host is not ready to closing
 	// the listener for traffic.
 	StopDelay time.Duration
+	// Grace is the time after the signal to stop at which the process is ended from
+	// outside. Requests get their final answers before. 0 means that it has no end.
+	Grace time.Duration
 	// Headers holds the names of the headers that callers and backends use.
 	Headers entry.Headers
 	// RetryBudgetRatio and RetryBudgetSlack form the retry budget of the whole fleet
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/mustardramp/mustardramp"
 )
@@ -162,6 +163,14 @@
 	_ = os.Remove(probe.Name())
 }
 
+// Grace checks that the time until the process is ended from outside, if there is one,
+// is longer than the time for which a stopping host accepts requests.
+func (c *Checker) Grace(flag string, grace time.Duration, delayFlag string, delay time.Duration) {
+	if grace < 0 || grace > 0 && grace <= delay {
+		c.addFault(flag, fmt.Sprintf("%s is not longer than %s (%s)", grace, delayFlag, delay), "give the time between SIGTERM and SIGKILL, or 0 if there is no SIGKILL")
+	}
+}
+
 // Pair checks that a certificate and its key are both named or both left out, and
 // that the files can be read.
 func (c *Checker) Pair(certFlag, cert, keyFlag, key string) {
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/setting"
@@ -34,6 +35,8 @@
 	c.Pair("--tls-cert", "cert.pem", "--tls-key", "")
 	c.Secret("--admin-token", "short")
 	c.Members("--members", []string{"c1=127.0.0.1:1/kol-a/kolkata", "c1=127.0.0.1:1/kol-a/kolkata", "c2"})
+	c.Grace("--grace", 5*time.Second, "--stop-delay", 5*time.Second)
+	c.Grace("--grace-after", -time.Second, "--stop-delay", 0)
 	got := c.Err().Error()
 	for name, want := range map[string]string{
 		"invalid name":            `--name "Entry 1" is not a plain name`,
@@ -47,6 +50,8 @@
 		"short token":             "--admin-token has fewer than 16 characters",
 		"duplicate host":          `--members names host "c1" twice`,
 		"duplicate address":       "--members names address 127.0.0.1:1 twice",
+		"grace within the delay":  "--grace 5s is not longer than --stop-delay (5s)",
+		"negative grace":          "--grace-after -1s is not longer than --stop-delay",
 		"malformed member":        `--members "c2" is not a member`,
 	} {
 		if !strings.Contains(got, want) {
@@ -58,6 +63,8 @@
 func TestCheckerAcceptsGoodSettings(t *testing.T) {
 	var c setting.Checker
 	c.Name("--name", "entry-1")
+	c.Grace("--grace", 0, "--stop-delay", 5*time.Second)
+	c.Grace("--grace", 6*time.Second, "--stop-delay", 5*time.Second)
 	c.Place(mustardramp.Place{Zone: "kol-a", Region: "kolkata"}, nil)
 	c.Listener("--listen", "127.0.0.1:0")
 	c.Folder("--data", filepath.Join(t.TempDir(), "new"))
