Start control hosts on a full disk and keep ledgers' members alive

A neighbour was found: a process that starts while its disk is full ended, and so did one with a ledger at the first failed write.

Cause: only a write of the running contracts group was survived; opening the folder writes its last segment anew, and ledgers' members had no way to empty their state.

Change: a member stays down until its folder can be opened, at the start too, and for all groups; a used-up quota counts as a full disk; member-reopened says how long.

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -148,7 +148,7 @@
 		return err
 	}
 	state := &ledger.State{}
-	g, err := c.openGroup(p, state, nil)
+	g, err := c.openGroup(p, state, func() error { return emptyMachine(state, &ledger.State{}) })
 	if err != nil {
 		return err
 	}
@@ -161,16 +161,16 @@
 
 // resetState empties the contracts' state before the log is applied to it again.
 func (c *Control) resetState() error {
-	return emptyState(&c.state)
+	return emptyMachine(&c.state, &registry.State{})
 }
 
-// emptyState restores the snapshot of an empty state.
-func emptyState(s *registry.State) error {
-	empty, err := (&registry.State{}).Snapshot()
+// emptyMachine restores the snapshot of an empty state machine of the same kind.
+func emptyMachine(m, empty mustardramp.StateMachine) error {
+	snapshot, err := empty.Snapshot()
 	if err != nil {
 		return err
 	}
-	return s.Restore(empty)
+	return m.Restore(snapshot)
 }
 
 // spreadEntries sends accepted entries to all hosts, the entries of one change
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -26,19 +26,26 @@
 // member stops and is opened again once the disk accepts writes.
 type member struct {
 	config quorum.Config
-	// reset empties the state machine before the log is applied to it again. A
-	// member whose reset is nil stops at its first failure.
+	// reset empties the state machine before the log is applied to it again.
 	reset func() error
+	// fullSince is when the disk was found full, or zero. Only openMember and run
+	// use it.
+	fullSince time.Time
 	// current is nil while the member waits for free space on its disk.
 	current atomic.Pointer[quorum.Group]
 }
 
 var _ mustardramp.Log = (*member)(nil)
 
-// openMember opens a member from its folder.
+// openMember opens a member from its folder. If the disk is full, the member stays
+// down until run has opened it.
 func openMember(config quorum.Config, reset func() error) (*member, error) {
 	m := &member{config: config, reset: reset}
 	g, err := quorum.Open(config)
+	if isDiskFull(err) {
+		m.logFull(err)
+		return m, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -46,6 +53,18 @@
 	return m, nil
 }
 
+// isDiskFull reports whether an operation failed because the disk, or the part of it
+// that the process may use, has no room.
+func isDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
+// logFull logs that the member is down until its disk has room.
+func (m *member) logFull(err error) {
+	m.fullSince = time.Now()
+	klog.ErrorS(err, "disk-full", "group", m.config.Group, "folder", m.config.Folder, "pause", reopenInterval)
+}
+
 // Propose implements mustardramp.Log.
 func (m *member) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	if g := m.current.Load(); g != nil {
@@ -83,19 +102,19 @@
 // another reason than being full.
 func (m *member) run(ctx context.Context) error {
 	for {
+		if m.current.Load() == nil {
+			if err := m.reopen(ctx); err != nil || m.current.Load() == nil {
+				return err
+			}
+			klog.InfoS("member-reopened", "group", m.config.Group, "folder", m.config.Folder,
+				"down", time.Since(m.fullSince).Milliseconds())
+		}
 		err := m.current.Load().Run(ctx)
-		if m.reset == nil || !errors.Is(err, syscall.ENOSPC) {
+		if !isDiskFull(err) {
 			return err
 		}
 		m.current.Store(nil)
-		klog.ErrorS(err, "disk-full", "group", m.config.Group, "folder", m.config.Folder, "pause", reopenInterval)
-		if err := m.reopen(ctx); err != nil {
-			return err
-		}
-		if m.current.Load() == nil {
-			return nil
-		}
-		klog.InfoS("member-reopened", "group", m.config.Group, "folder", m.config.Folder)
+		m.logFull(err)
 	}
 }
 
@@ -118,7 +137,7 @@
 			m.current.Store(g)
 			return nil
 		}
-		if !errors.Is(err, syscall.ENOSPC) {
+		if !isDiskFull(err) {
 			return err
 		}
 	}
--- a/internal/host/member_test.go
+++ b/internal/host/member_test.go
@@ -6,12 +6,14 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/disk"
+	"github.com/mustardramp/mustardramp/internal/ledger"
 	"github.com/mustardramp/mustardramp/internal/quorum"
 	"github.com/mustardramp/mustardramp/internal/registry"
 )
@@ -38,7 +40,7 @@
 	m, err := openMember(quorum.Config{
 		Group: "contracts", Host: "host-1", Hosts: []mustardramp.HostName{"host-1"}, Folder: "data",
 		Disk: fake, Machine: &state, Transport: discardTransport{}, Tick: 2 * time.Millisecond,
-	}, func() error { return emptyState(&state) })
+	}, func() error { return emptyMachine(&state, &registry.State{}) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,3 +82,58 @@
 		t.Error(err)
 	}
 }
+
+// TestLedgerMemberRecoversFromFullDisk guards against a control host whose process
+// ends because the disk of a ledger's group is full. The claims that were granted
+// before are still there once it has space.
+func TestLedgerMemberRecoversFromFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newFaultyDisk(func(op disk.Operation) bool { return op == disk.OperationWrite })
+		state := &ledger.State{}
+		m, err := openMember(quorum.Config{
+			Group: "ledger", Host: "host-1", Hosts: []mustardramp.HostName{"host-1"}, Folder: "data", Disk: d,
+			Machine: state, Transport: discardTransport{}, SnapshotBytes: 100,
+		}, func() error { return emptyMachine(state, &ledger.State{}) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		group.Go(func() error { return m.run(ctx) })
+		claim := func(key mustardramp.OperationKey) error {
+			bounded, stop := context.WithTimeout(t.Context(), 5*time.Second)
+			defer stop()
+			command := ledger.Command{Member: "host-1", At: 1, Claim: &ledger.ClaimRequest{
+				Claim: mustardramp.Claim{ID: mustardramp.ClaimID{Service: "mohor", Key: key}, Host: "entry-1", Incarnation: 1, Keep: time.Hour},
+			}}
+			encoded, err := command.Encode()
+			if err != nil {
+				return err
+			}
+			_, err = m.Propose(bounded, encoded)
+			return err
+		}
+		if err := claim("before"); err != nil {
+			t.Fatal(err)
+		}
+		d.full.Store(true)
+		if err := claim("during"); err == nil {
+			t.Error("got a claim on a full disk, want none")
+		}
+		time.Sleep(3 * time.Second)
+		d.full.Store(false)
+		time.Sleep(3 * time.Second)
+		if err := claim("after"); err != nil {
+			t.Errorf("got %v once the disk had space, want the claim", err)
+		}
+		for _, key := range []mustardramp.OperationKey{"before", "after"} {
+			if _, ok := state.Show(mustardramp.ClaimID{Service: "mohor", Key: key}); !ok {
+				t.Errorf("claim %q: got none, want it kept", key)
+			}
+		}
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Errorf("got %v, want the process to live", err)
+		}
+	})
+}
