--- a/design/types.go
+++ b/design/types.go
@@ -169,7 +169,9 @@
 	Attribute("usable_slots", Int)
 	Attribute("floor_slots", Int)
 	Attribute("ejected", ArrayOf(String))
-	Required("service", "revision", "backends", "serving_slots", "usable_slots", "floor_slots", "ejected")
+	Attribute("left", Int64, "Backends that stated to this host in an answer that they are leaving, since its start")
+	Attribute("quieted", Int64, "Times that a backend asked this host in an answer for no requests, since its start")
+	Required("service", "revision", "backends", "serving_slots", "usable_slots", "floor_slots", "ejected", "left", "quieted")
 })
 
 // GroupStatus is a replicated group as known to the host that answers.
--- a/gen/fleet/service.go
+++ b/gen/fleet/service.go
@@ -193,6 +193,12 @@
 	UsableSlots  int
 	FloorSlots   int
 	Ejected      []string
+	// Backends that stated to this host in an answer that they are leaving, since
+	// its start
+	Left int64
+	// Times that a backend asked this host in an answer for no requests, since its
+	// start
+	Quieted int64
 }
 
 // StatusPayload is the payload type of the fleet service status method.
--- a/gen/http/cli/mustardramp/cli.go
+++ b/gen/http/cli/mustardramp/cli.go
@@ -35,7 +35,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "ledger show --service \"Sequi quis cum.\" --caller \"Quaerat placeat dolores nobis aliquam et.\" --key \"Vitae eos.\" --token \"Fugiat sint sed.\"" + "\n" +
+	return os.Args[0] + " " + "ledger show --service \"Ipsa quaerat.\" --caller \"Dolores nobis aliquam et iste.\" --key \"Eos et fugiat sint sed inventore doloremque.\" --token \"Voluptatem atque necessitatibus placeat velit eaque et.\"" + "\n" +
 		os.Args[0] + " " + "refusal show --id \"kl3\" --token \"Et dolores.\"" + "\n" +
 		os.Args[0] + " " + "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         },\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         }\n      ]\n   }' --token \"Sit qui.\"" + "\n" +
 		os.Args[0] + " " + "fleet status --token \"Eaque quo.\"" + "\n" +
@@ -355,7 +355,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger show --service \"Sequi quis cum.\" --caller \"Quaerat placeat dolores nobis aliquam et.\" --key \"Vitae eos.\" --token \"Fugiat sint sed.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger show --service \"Ipsa quaerat.\" --caller \"Dolores nobis aliquam et iste.\" --key \"Eos et fugiat sint sed inventore doloremque.\" --token \"Voluptatem atque necessitatibus placeat velit eaque et.\"")
 }
 
 func ledgerSettleUsage() {
@@ -375,7 +375,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger settle --body '{\n      \"caller\": \"Eos consequatur minima.\",\n      \"key\": \"Voluptas quia sequi non.\",\n      \"outcome\": \"ran\",\n      \"service\": \"Sit nisi quae iure.\",\n      \"who\": \"Similique itaque numquam.\",\n      \"why\": \"Molestias rerum.\"\n   }' --token \"Minima in vel consequatur tenetur suscipit ut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger settle --body '{\n      \"caller\": \"Nisi quae iure.\",\n      \"key\": \"Eos consequatur minima.\",\n      \"outcome\": \"not-run\",\n      \"service\": \"Ut consectetur.\",\n      \"who\": \"Quia sequi non id facilis similique itaque.\",\n      \"why\": \"Et molestias rerum optio minima in vel.\"\n   }' --token \"Tenetur suscipit ut deleniti vitae voluptate.\"")
 }
 
 // refusalUsage displays the usage of the refusal command and its subcommands.
--- a/gen/http/fleet/client/encode_decode.go
+++ b/gen/http/fleet/client/encode_decode.go
@@ -588,6 +588,8 @@
 		ServingSlots: *v.ServingSlots,
 		UsableSlots:  *v.UsableSlots,
 		FloorSlots:   *v.FloorSlots,
+		Left:         *v.Left,
+		Quieted:      *v.Quieted,
 	}
 	res.Ejected = make([]string, len(v.Ejected))
 	for i, val := range v.Ejected {
--- a/gen/http/fleet/client/types.go
+++ b/gen/http/fleet/client/types.go
@@ -362,6 +362,12 @@
 	UsableSlots  *int     `form:"usable_slots,omitempty" json:"usable_slots,omitempty" xml:"usable_slots,omitempty"`
 	FloorSlots   *int     `form:"floor_slots,omitempty" json:"floor_slots,omitempty" xml:"floor_slots,omitempty"`
 	Ejected      []string `form:"ejected,omitempty" json:"ejected,omitempty" xml:"ejected,omitempty"`
+	// Backends that stated to this host in an answer that they are leaving, since
+	// its start
+	Left *int64 `form:"left,omitempty" json:"left,omitempty" xml:"left,omitempty"`
+	// Times that a backend asked this host in an answer for no requests, since its
+	// start
+	Quieted *int64 `form:"quieted,omitempty" json:"quieted,omitempty" xml:"quieted,omitempty"`
 }
 
 // RankStatusResponseBody is used to define fields on response body types.
@@ -1305,6 +1311,12 @@
 	if body.Ejected == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("ejected", "body"))
 	}
+	if body.Left == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("left", "body"))
+	}
+	if body.Quieted == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("quieted", "body"))
+	}
 	return
 }
 
--- a/gen/http/fleet/server/encode_decode.go
+++ b/gen/http/fleet/server/encode_decode.go
@@ -553,6 +553,8 @@
 		ServingSlots: v.ServingSlots,
 		UsableSlots:  v.UsableSlots,
 		FloorSlots:   v.FloorSlots,
+		Left:         v.Left,
+		Quieted:      v.Quieted,
 	}
 	if v.Ejected != nil {
 		res.Ejected = make([]string, len(v.Ejected))
--- a/gen/http/fleet/server/types.go
+++ b/gen/http/fleet/server/types.go
@@ -362,6 +362,12 @@
 	UsableSlots  int      `form:"usable_slots" json:"usable_slots" xml:"usable_slots"`
 	FloorSlots   int      `form:"floor_slots" json:"floor_slots" xml:"floor_slots"`
 	Ejected      []string `form:"ejected" json:"ejected" xml:"ejected"`
+	// Backends that stated to this host in an answer that they are leaving, since
+	// its start
+	Left int64 `form:"left" json:"left" xml:"left"`
+	// Times that a backend asked this host in an answer for no requests, since its
+	// start
+	Quieted int64 `form:"quieted" json:"quieted" xml:"quieted"`
 }
 
 // RankStatusResponseBody is used to define fields on response body types.
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -111,7 +111,10 @@
 		if r == nil {
 			continue
 		}
-		status.Services = append(status.Services, serviceOf(c.Service, c.Revision, c.Floor, r.Standings()))
+		service := serviceOf(c.Service, c.Revision, c.Floor, r.Standings())
+		counts := r.pool.NoticeCounts()
+		service.Left, service.Quieted = counts.Left.Load(), counts.Quieted.Load()
+		status.Services = append(status.Services, service)
 		status.Ranks = append(status.Ranks, ranksOf(c.Service, &r.counts)...)
 	}
 	return status
--- a/internal/lease/exclusion.go
+++ b/internal/lease/exclusion.go
@@ -142,6 +142,7 @@
 	p.exclusions.update(now, b, group, func(e *exclusion) {
 		if n.Leaving && !e.leaving {
 			e.leaving, e.notedAt = true, now
+			p.noticeCounts.Left.Add(1)
 			klog.InfoS("backend-left-alone", "service", p.Service(), "backend", b.Address, "incarnation", b.Incarnation, "cause", "leaving")
 		}
 		until := now.Add(n.Quiet)
@@ -151,6 +152,7 @@
 					"cause", "quiet", "ms", n.Quiet.Milliseconds())
 			}
 			e.quietUntil, e.notedAt = until, now
+			p.noticeCounts.Quieted.Add(1)
 		}
 	})
 	if g := p.plan.Load().byID[group]; g != nil && p.isWithdrawnGroup(g, now) {
@@ -303,6 +305,19 @@
 	}
 }
 
+// NoticeCounts counts what backends stated to this host in answers since its start.
+type NoticeCounts struct {
+	// Left counts the incarnations that stated that they are leaving.
+	Left atomic.Int64
+	// Quieted counts the requests for a quiet time that extended the former one.
+	Quieted atomic.Int64
+}
+
+// NoticeCounts returns the counters of the service.
+func (p *Pool) NoticeCounts() *NoticeCounts {
+	return &p.noticeCounts
+}
+
 // Exclusion describes to operators why this host leaves a backend alone.
 type Exclusion struct {
 	Backend     mustardramp.BackendID
--- a/internal/lease/exclusion_test.go
+++ b/internal/lease/exclusion_test.go
@@ -84,6 +84,13 @@
 				defer net.close()
 				p, keeper := poolWithRemoteKeeper(net)
 				noteAnswer(t, p, 1, test.notice)
+				counts := p.NoticeCounts()
+				if got, want := counts.Left.Load() == 1, test.notice.Leaving; got != want {
+					t.Errorf("counted as leaving: got %t, want %t", got, want)
+				}
+				if got, want := counts.Quieted.Load() == 1, test.notice.Quiet > 0; got != want {
+					t.Errorf("counted as quiet: got %t, want %t", got, want)
+				}
 				if test.restart {
 					first.Backend.Incarnation++
 					for _, pool := range net.pools {
