--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -48,7 +48,7 @@
 	// peers maps a host name to its *peer.
 	peers sync.Map
 	// exclusions holds the backends that this host must not use for now.
-	exclusions   exclusions
+	exclusions exclusions
 	// noticeCounts counts what backends stated to this host.
 	noticeCounts NoticeCounts
 	// waiting holds the requests that wait for a slot.
