Find the group of a backend to leave alone in the plan

Cause, found by reading: the group was that of the lease with which the backend was used. When a service grows, its backends are divided anew, and requests to the new group did not name the backend; a slot there was given back, up to four times.

Change: the plan maps backends to groups.

--- a/internal/lease/exclusion.go
+++ b/internal/lease/exclusion.go
@@ -27,8 +27,6 @@
 	// incarnation is the one that the exclusion is about. A later one is not
 	// excluded.
 	incarnation mustardramp.Incarnation
-	// group is the group of the lease with which the backend was used last.
-	group GroupID
 	// unreachableUntil is the time until which the backend counts as unreachable
 	// after a failed dial, or zero.
 	unreachableUntil time.Time
@@ -77,7 +75,7 @@
 
 // update changes the exclusion of a backend's incarnation. An older incarnation than
 // the known one is ignored.
-func (x *exclusions) update(now time.Time, b *mustardramp.Backend, group GroupID, change func(*exclusion)) {
+func (x *exclusions) update(now time.Time, b *mustardramp.Backend, change func(*exclusion)) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	e := x.all()[b.ID]
@@ -87,7 +85,7 @@
 	if e.incarnation != b.Incarnation {
 		e = exclusion{incarnation: b.Incarnation}
 	}
-	e.group, e.changedAt = group, now
+	e.changedAt = now
 	change(&e)
 	next := maps.Clone(x.all())
 	if next == nil {
@@ -121,23 +119,23 @@
 
 // recordReachability records from the result of an attempt whether this host can
 // reach the backend.
-func (p *Pool) recordReachability(b *mustardramp.Backend, group GroupID, result mustardramp.Result) {
+func (p *Pool) recordReachability(b *mustardramp.Backend, result mustardramp.Result) {
 	now := p.clock.Now()
 	switch result {
 	case mustardramp.ResultDial:
-		p.exclusions.update(now, b, group, func(e *exclusion) { e.unreachableUntil = now.Add(unreachablePeriod) })
+		p.exclusions.update(now, b, func(e *exclusion) { e.unreachableUntil = now.Add(unreachablePeriod) })
 	case mustardramp.ResultSuccess:
 		if e, ok := p.exclusions.find(b); ok && now.Before(e.unreachableUntil) {
-			p.exclusions.update(now, b, group, func(e *exclusion) { e.unreachableUntil = time.Time{} })
+			p.exclusions.update(now, b, func(e *exclusion) { e.unreachableUntil = time.Time{} })
 		}
 	}
 }
 
 // note excludes a backend as it asked for in an answer. If that was the last usable
 // backend of its group, the requests that wait there are given up.
-func (p *Pool) note(b *mustardramp.Backend, group GroupID, n mustardramp.Notice) {
+func (p *Pool) note(b *mustardramp.Backend, n mustardramp.Notice) {
 	now := p.clock.Now()
-	p.exclusions.update(now, b, group, func(e *exclusion) {
+	p.exclusions.update(now, b, func(e *exclusion) {
 		if n.Leaving && !e.leaving {
 			e.leaving, e.notedAt = true, now
 			p.noticeCounts.Left.Add(1)
@@ -153,8 +151,9 @@
 			p.noticeCounts.Quieted.Add(1)
 		}
 	})
-	if g := p.plan.Load().byID[group]; g != nil && p.isWithdrawnGroup(g, now) {
-		p.waiting.cancelGroup(group)
+	plan := p.plan.Load()
+	if g := plan.byID[plan.groupOf[b.ID]]; g != nil && p.isWithdrawnGroup(g, now) {
+		p.waiting.cancelGroup(g.id)
 	}
 }
 
@@ -164,12 +163,16 @@
 	return ok && e.isWithdrawn(p.clock.Now())
 }
 
-// excludedBackends returns the backends of the group that this host must not use.
+// excludedBackends returns the backends of the group that this host must not use. A
+// backend that only the keeper knows yet may belong to any group.
 func (p *Pool) excludedBackends(g *group) []mustardramp.BackendID {
 	out := slices.Clip(slices.Clone(g.excluded))
 	now := p.clock.Now()
+	groupOf := p.plan.Load().groupOf
 	for id, e := range p.exclusions.all() {
-		if e.group == g.id && e.isActive(now) && !slices.Contains(out, id) {
+		known, ok := groupOf[id]
+		isElsewhere := ok && known != g.id
+		if !isElsewhere && e.isActive(now) && !slices.Contains(out, id) {
 			out = append(out, id)
 		}
 	}
--- a/internal/lease/exclusion_test.go
+++ b/internal/lease/exclusion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,3 +197,35 @@
 		again.Release(mustardramp.ResultSuccess, time.Millisecond)
 	})
 }
+
+// TestExclusionFollowsItsBackendToAnotherGroup guards against requests for a backend
+// that is to be left alone when its service grows and its backends are divided anew.
+func TestExclusionFollowsItsBackendToAnotherGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var standings []mustardramp.Standing
+		for i := range groupSize {
+			standings = append(standings, standing(i, kolA, 1))
+		}
+		net := newNetwork(4, standings...)
+		defer net.close()
+		p, _ := poolWithRemoteKeeper(net)
+		for i := range standings {
+			b := standings[i].Backend
+			p.note(&b, mustardramp.Notice{Quiet: time.Hour})
+		}
+		for i := range 2 * groupSize {
+			standings = append(standings, standing(groupSize+i, kolA, 1))
+		}
+		p.Update(standings)
+		for _, g := range p.plan.Load().groups {
+			excluded := p.excludedBackends(g)
+			for i := range g.standings {
+				id := g.standings[i].Backend.ID
+				isQuiet := slices.ContainsFunc(standings[:groupSize], func(s mustardramp.Standing) bool { return s.Backend.ID == id })
+				if got := slices.Contains(excluded, id); got != isQuiet {
+					t.Errorf("%s in part %d: got it named in the requests to its group: %t, want %t", id, g.id.Part, got, isQuiet)
+				}
+			}
+		}
+	})
+}
--- a/internal/lease/plan.go
+++ b/internal/lease/plan.go
@@ -42,6 +42,8 @@
 type plan struct {
 	groups []*group
 	byID   map[GroupID]*group
+	// groupOf maps each backend to its group.
+	groupOf map[mustardramp.BackendID]GroupID
 	// backendCount is the number of backends of the service, and hostCount the
 	// number of hosts in the fleet.
 	backendCount, hostCount int
@@ -51,7 +53,7 @@
 // fleets lead to equal groups and keepers on every host. The old plan, if not nil,
 // is the one for the fleet before the diff.
 func newPlan(service mustardramp.ServiceName, standings []mustardramp.Standing, fleet *Fleet, old *plan, diff fleetDiff) *plan {
-	p := &plan{byID: map[GroupID]*group{}, backendCount: len(standings), hostCount: len(fleet.hosts)}
+	p := &plan{byID: map[GroupID]*group{}, groupOf: make(map[mustardramp.BackendID]GroupID, len(standings)), backendCount: len(standings), hostCount: len(fleet.hosts)}
 	sizes := map[mustardramp.Region]int{}
 	for i := range standings {
 		sizes[standings[i].Backend.Place.Region]++
@@ -61,6 +63,7 @@
 		region := standings[i].Backend.Place.Region
 		parts := (sizes[region] + groupSize - 1) / groupSize
 		id := GroupID{Region: region, Part: partOf(s.Backend.ID, parts)}
+		p.groupOf[s.Backend.ID] = id
 		p.ensureGroup(id, mustardramp.Place{Region: region}).add(s)
 	}
 	for _, g := range p.groups {
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -311,7 +311,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &localSlot{Slot: held, pool: p, group: g.id, rank: demand.Rank}, nil
+	return &localSlot{Slot: held, pool: p, rank: demand.Rank}, nil
 }
 
 // requestLease requests a lease from a peer.
@@ -344,7 +344,7 @@
 			mustardramp.Fact{Name: "keeper", Value: string(peer.name)})
 		return nil, &denial
 	}
-	return &slot{pool: p, peer: peer, group: g.id, number: request.Number, backend: response.Backend, rank: demand.Rank}, nil
+	return &slot{pool: p, peer: peer, number: request.Number, backend: response.Backend, rank: demand.Rank}, nil
 }
 
 // requestTimeout returns how long a keeper has to answer a request of the rank.
--- a/internal/lease/slot.go
+++ b/internal/lease/slot.go
@@ -11,7 +11,6 @@
 type slot struct {
 	pool    *Pool
 	peer    *peer
-	group   GroupID
 	number  Number
 	backend mustardramp.Backend
 	rank    mustardramp.Rank
@@ -27,7 +26,7 @@
 // Note implements mustardramp.Slot.
 func (s *slot) Note(n mustardramp.Notice) {
 	s.leaving = n.Leaving
-	s.pool.note(&s.backend, s.group, n)
+	s.pool.note(&s.backend, n)
 }
 
 // Withdrawn implements mustardramp.Slot.
@@ -37,7 +36,7 @@
 
 // Release implements mustardramp.Slot.
 func (s *slot) Release(result mustardramp.Result, latency time.Duration) {
-	s.pool.recordReachability(&s.backend, s.group, result)
+	s.pool.recordReachability(&s.backend, result)
 	s.pool.returnLease(s.peer, Return{Number: s.number, Result: result, Latency: latency, Leaving: s.leaving})
 	s.pool.observe(s.rank, result)
 }
@@ -46,16 +45,15 @@
 // mustardramp.Slot.
 type localSlot struct {
 	mustardramp.Slot
-	pool  *Pool
-	group GroupID
-	rank  mustardramp.Rank
+	pool *Pool
+	rank mustardramp.Rank
 }
 
 // Note implements mustardramp.Slot. A backend that is quiet towards this host may
 // still accept the requests of the other hosts that hold leases.
 func (s *localSlot) Note(n mustardramp.Notice) {
 	b := s.Backend()
-	s.pool.note(&b, s.group, n)
+	s.pool.note(&b, n)
 	s.Slot.Note(mustardramp.Notice{Leaving: n.Leaving})
 }
 
@@ -68,7 +66,7 @@
 // Release implements mustardramp.Slot.
 func (s *localSlot) Release(result mustardramp.Result, latency time.Duration) {
 	b := s.Backend()
-	s.pool.recordReachability(&b, s.group, result)
+	s.pool.recordReachability(&b, result)
 	s.Slot.Release(result, latency)
 	s.pool.observe(s.rank, result)
 }
