--- a/internal/entry/grace_test.go
+++ b/internal/entry/grace_test.go
@@ -296,18 +296,10 @@
 			Name: name, Host: "mohor.example", Prefix: "/" + name + "/", Kind: kind, Timeout: contract.Span(timeout), Tries: 1, Service: "mohor",
 		})
 	}
-	source, err := table.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := contract.Parse("table.json", source)
-	if err != nil {
-		t.Fatal(err)
-	}
 	f := &fixture{pool: &fakePool{}, budget: &fakeBudget{}, ledger: &fakeLedger{}}
 	f.service.Pool, f.service.Budget = f.pool, f.budget
 	f.pool.backends = []mustardramp.Backend{{ID: "mohor/127.0.0.1:80", Service: "mohor", State: mustardramp.Serving, Instance: "i-0"}}
-	set := contract.NewSet(1, []*contract.Contract{c})
+	set := contract.NewSet(1, []*contract.Contract{parseTable(t, table)})
 	f.handler = New(Config{
 		Host: "kol-a-1", Incarnation: 7, Services: f, Headers: platformHeaders, Dial: dial,
 		Contracts: func() *contract.Set { return set },
--- a/internal/entry/table_test.go
+++ b/internal/entry/table_test.go
@@ -37,6 +37,17 @@
 		},
 		Services: []contract.TableService{{Name: "mohor"}},
 	}
+	f := newFixtureWith(t, parseTable(t, table), mustardramp.SystemClock{}, backends...)
+	f.handler.config.Headers = platformHeaders
+	for i := range f.pool.backends {
+		f.pool.backends[i].Instance = fmt.Sprint("i-", i)
+	}
+	return f
+}
+
+// parseTable returns the contract of a routing table.
+func parseTable(t testing.TB, table contract.Table) *contract.Contract {
+	t.Helper()
 	source, err := table.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -45,12 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := newFixtureWith(t, c, mustardramp.SystemClock{}, backends...)
-	f.handler.config.Headers = platformHeaders
-	for i := range f.pool.backends {
-		f.pool.backends[i].Instance = fmt.Sprint("i-", i)
-	}
-	return f
+	return c
 }
 
 // writeStamped responds as a backend of the platform does.
