--- a/internal/entry/grace.go
+++ b/internal/entry/grace.go
@@ -51,8 +51,8 @@
 }
 
 // checkGrace refuses a request that is not likely to end before the stopping host
-// does, so that it is not cut after a backend has begun it. It ends the deadline of
-// any other request in time for a final answer.
+// does, so that it is not cut after a backend has begun it. It shortens the deadline
+// of any other request so that a final answer can follow.
 func (x *exchange) checkGrace() *mustardramp.Denial {
 	end := x.h.stopEnd.Load()
 	if end == nil || x.deadline.Before(*end) {
@@ -70,8 +70,9 @@
 	return nil
 }
 
-// timeNeeded returns the time that the request takes if it takes longer than usual,
-// and at least closingTime's maximum.
+// timeNeeded returns the time that must be left of the grace for the request: a
+// multiple of the typical time, at least maxClosingTime, and the time of its body on
+// the host's link.
 func (x *exchange) timeNeeded() time.Duration {
 	needed := max(typicalTimeFactor*x.service.typicalTimes.mean(x.route.Rank), maxClosingTime)
 	if rate := x.h.config.LinkRate; rate > 0 && x.r.ContentLength > 0 {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,7 +35,7 @@
 	// StopDelay is the time between reporting not ready and closing the
 	// listener. It lets a load balancer direct new requests to other hosts.
 	StopDelay time.Duration
-	// Grace is the time after the begin of a stop at which the process is ended from
+	// Grace is the time after the start of a stop at which the process is ended from
 	// outside. Zero means that a stop may take as long as the requests in flight.
 	Grace time.Duration
 	// TLS may be nil; then callers connect in plain text.
