--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 [ -x "$root/target/mustardramp" ] && [ -x "$root/target/review-stand" ] || exit 2
-REVIEW_ROOT=$root exec "$root/target/review-stand" bigtable "$folder"
+REVIEW_ROOT=$root exec "$root/target/review-stand" memory "$folder"
