Log what made a host ready, and when a serving host asks for the state

New: readiness (source, index) and state-requested (age of the last contact, the control host of it, the host asked).

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -46,7 +46,7 @@
 func (c *Core) HandleRequest(now time.Time, r *Request) (*Response, []mustardramp.Record, error) {
 	resp, accepted, err := c.Node.HandleRequest(now, r)
 	if r.Ready && c.Members.IsControl(r.From) {
-		c.statePoller.noteMessage(now, c.Node.holdsChangesOf(r.Digests))
+		c.statePoller.noteMessage(now, r.From, c.Node.holdsChangesOf(r.Digests))
 	}
 	return resp, c.learn(now, accepted), err
 }
@@ -56,7 +56,7 @@
 func (c *Core) HandleResponse(now time.Time, s Send, resp *Response) ([]mustardramp.Record, error) {
 	accepted, err := c.Node.HandleResponse(now, s.To.Name, s.Request, resp)
 	if s.To.Control && resp.Ready {
-		c.statePoller.noteMessage(now, c.Node.holdsChangesOf(resp.Digests))
+		c.statePoller.noteMessage(now, s.To.Name, c.Node.holdsChangesOf(resp.Digests))
 	}
 	accepted = c.learn(now, accepted)
 	return append(accepted, c.Offer(now, c.Members.ReportSuccess(now, s.To.Name)...)...), err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -76,6 +76,8 @@
 	undecodableCount int
 	// shortOfBudget is set while the budget holds catch-ups back.
 	shortOfBudget bool
+	// loggedReady is the readiness that was logged last.
+	loggedReady bool
 
 	watchers watchers
 }
@@ -246,6 +248,10 @@
 		e.undecodableCount = n
 		klog.InfoS("records-undecodable", "count", n)
 	}
+	if ready := e.core.Node.ready; ready.isReady != e.loggedReady {
+		e.loggedReady = ready.isReady
+		klog.InfoS("readiness", "ready", ready.isReady, "source", ready.source.String(), "index", e.core.Node.Newest())
+	}
 	if isShort := e.core.Node.IsShortOfBudget(now); isShort != e.shortOfBudget {
 		e.shortOfBudget = isShort
 		klog.InfoS("exchange-budget", "short", isShort, "spent", e.core.Node.Spent())
--- a/internal/exchange/ready.go
+++ b/internal/exchange/ready.go
@@ -14,6 +14,8 @@
 // what it holds.
 type readiness struct {
 	isReady bool
+	// source is what made the host ready.
+	source readySource
 	// synced holds the ready peers that hold the same changes as this host.
 	synced map[mustardramp.HostName]bool
 }
@@ -27,7 +29,22 @@
 		r.synced = make(map[mustardramp.HostName]bool)
 	}
 	r.synced[peer] = true
-	r.isReady = len(r.synced) >= minReadyPeers
+	if len(r.synced) >= minReadyPeers {
+		r.isReady, r.source = true, readyByPeers
+	}
+}
+
+// readySource tells what made a host ready.
+type readySource uint8
+
+const (
+	readyByQuorum readySource = iota
+	readyByPeers
+)
+
+// String returns the name of the source.
+func (s readySource) String() string {
+	return [...]string{"quorum", "peers"}[s]
 }
 
 // State identifies the set of changes that a host holds, for comparison with
@@ -52,8 +69,8 @@
 // Confirm makes the host ready if it holds the state that a quorum confirmed. It
 // reports whether the host is ready.
 func (n *Node) Confirm(confirmed State) bool {
-	if confirmed == n.State() {
-		n.ready.isReady = true
+	if confirmed == n.State() && !n.ready.isReady {
+		n.ready.isReady, n.ready.source = true, readyByQuorum
 	}
 	return n.ready.isReady
 }
@@ -62,5 +79,5 @@
 // while a quorum confirms its log, so that an isolated one makes no other host
 // ready.
 func (n *Node) SetConfirmed(confirmed bool) {
-	n.ready.isReady = confirmed
+	n.ready.isReady, n.ready.source = confirmed, readyByQuorum
 }
--- a/internal/exchange/statepoller.go
+++ b/internal/exchange/statepoller.go
@@ -30,6 +30,8 @@
 // polling brings changes without that delay. The zero value asks at once.
 type statePoller struct {
 	lastContact time.Time
+	// contact is the control host of the last contact, or empty.
+	contact mustardramp.HostName
 	// silenceLimit is the time without contact after which the host asks; 0
 	// stands for minSilenceLimit.
 	silenceLimit time.Duration
@@ -43,10 +45,10 @@
 
 // noteMessage records a message from a control host that a quorum confirms. One that
 // holds other changes is no contact, but shows that there may be news.
-func (p *statePoller) noteMessage(now time.Time, inSync bool) {
+func (p *statePoller) noteMessage(now time.Time, from mustardramp.HostName, inSync bool) {
 	p.silenceLimit = minSilenceLimit
 	if inSync {
-		p.lastContact = now
+		p.lastContact, p.contact = now, from
 	}
 }
 
@@ -79,6 +81,9 @@
 	if len(hosts) == 0 {
 		return netip.AddrPort{}, c.statePoller.earliest
 	}
+	if c.statePoller.polls == 0 && c.Node.Ready() {
+		klog.InfoS("state-requested", "ms", c.ControlSilence(now).Milliseconds(), "contact", c.statePoller.contact, "host", hosts[0], "index", c.Node.Newest())
+	}
 	c.statePoller.polls++
 	return hosts[(c.statePoller.polls-1)%len(hosts)], c.statePoller.earliest
 }
