--- a/internal/exchange/mesh_test.go
+++ b/internal/exchange/mesh_test.go
@@ -154,7 +154,7 @@
 	switch {
 	case m.down[host] || !address.IsValid():
 		m.after(next.Sub(m.now), poll)
-	case !m.delivers(host, to) || !m.delivers(to, host) || 2*m.oneWayDelay >= stateCallTimeout:
+	case !m.delivers(host, to) || !m.delivers(to, host) || 2*m.oneWayDelay >= stateCallTimeout || !m.hasQuorum(to):
 		m.after(stateCallTimeout+statePollInterval, poll)
 	default:
 		r := c.stateRequest()
