Make a control host ready by a quorum only

Cause: a control host whose quorum read failed became ready again as soon as three ready peers answered with the same changes. The entry hosts that it feeds are such peers at all times. Its heartbeats then counted as contact at these hosts, so that none of them asked another control host. The evidence went round in a circle: each side trusted the other's copy.

TestEntryHostsConfirmAnIsolatedControlHost failed before.

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -31,6 +31,7 @@
 		Members: membership.New(self),
 		Seeds:   seeds,
 	}
+	c.Node.ready.needsQuorum = self.Role == membership.Control
 	c.Offer(now, c.Members.Statement())
 	return c
 }
--- a/internal/exchange/ready.go
+++ b/internal/exchange/ready.go
@@ -14,6 +14,9 @@
 // what it holds.
 type readiness struct {
 	isReady bool
+	// needsQuorum is set on a control host. Its peers hold what it sent them, so they
+	// cannot show that it holds the newest changes.
+	needsQuorum bool
 	// source is what made the host ready.
 	source readySource
 	// synced holds the ready peers that hold the same changes as this host.
@@ -22,7 +25,7 @@
 
 // observe records the response of a peer.
 func (r *readiness) observe(peer mustardramp.HostName, ready, inSync bool) {
-	if r.isReady || !ready || !inSync {
+	if r.isReady || r.needsQuorum || !ready || !inSync {
 		return
 	}
 	if r.synced == nil {
