Tell entry hosts at once that their control host is isolated

Callers of entry hosts were served by an older version for 1.5 to 4 s after the nearest control host had been cut off from the quorum.

Cause: a control host noticed the loss of the quorum up to two seconds later, the entry hosts asked 1.5 s after that, and first the isolated hosts of their region. Messages of a control host did not say how old its confirmation was.

Change: quorum reads begin every 250 ms and count for 600 ms; each message carries the age of the read, and contact counts from its start. A control host that is no longer confirmed sends a heartbeat at once to the hosts that it sends changes to. These poll without delay, and ask hosts that said so last.

--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -50,26 +50,42 @@
 	return e.core.Node.stateFor(r.State)
 }
 
-// confirmLog keeps the readiness of a control host up to date until the context
+// confirmLog keeps the confirmation of a control host up to date until the context
 // ends.
 func (e *Exchange) confirmLog(ctx context.Context) error {
 	for {
-		confirmCtx, cancel := context.WithTimeout(ctx, confirmInterval)
+		begun := e.now()
+		confirmCtx, cancel := context.WithTimeout(ctx, e.confirmTimeout(begun))
 		err := e.options.Log.Confirm(confirmCtx)
 		cancel()
-		e.mu.Lock()
-		wasReady := e.core.Node.Ready()
-		e.core.Node.SetConfirmed(err == nil)
-		e.mu.Unlock()
-		if wasReady != (err == nil) {
-			klog.InfoS("quorum", "confirmed", err == nil, "cause", err)
-		}
-		if !sleep(ctx, confirmInterval) {
+		e.noteQuorumRead(begun, err)
+		if !sleep(ctx, begun.Add(confirmInterval).Sub(e.now())) {
 			return ctx.Err()
 		}
 	}
 }
 
+// confirmTimeout returns the time limit of a quorum read that begins now.
+func (e *Exchange) confirmTimeout(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Node.confirmTimeout(now)
+}
+
+// noteQuorumRead records the result of a quorum read. When the confirmation is lost,
+// the hosts that this one sends changes to are told at once.
+func (e *Exchange) noteQuorumRead(begun time.Time, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	wasReady := e.core.Node.Ready()
+	e.core.Node.noteQuorumRead(e.now(), begun, err == nil)
+	if wasReady == (err == nil) {
+		return
+	}
+	klog.InfoS("quorum", "confirmed", err == nil, "cause", err)
+	e.publish(nil)
+}
+
 // pollState asks control hosts in turn for the confirmed state, when the core
 // asks for it, until the context ends.
 func (e *Exchange) pollState(ctx context.Context) error {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -46,8 +46,8 @@
 // and the accepted records.
 func (c *Core) HandleRequest(now time.Time, r *Request) (*Response, []mustardramp.Record, error) {
 	resp, accepted, err := c.Node.HandleRequest(now, r)
-	if r.Ready && c.Members.IsControl(r.From) {
-		c.statePoller.noteMessage(now, r.From, c.Node.holdsChangesOf(r.Digests))
+	if c.Members.IsControl(r.From) {
+		c.statePoller.noteMessage(now, controlMessage{r.From, r.Ready, r.Age, c.Node.holdsChangesOf(r.Digests)})
 	}
 	return resp, c.learn(now, accepted), err
 }
@@ -56,8 +56,8 @@
 // records.
 func (c *Core) HandleResponse(now time.Time, s Send, resp *Response) ([]mustardramp.Record, error) {
 	accepted, err := c.Node.HandleResponse(now, s.To.Name, s.Request, resp)
-	if s.To.Control && resp.Ready {
-		c.statePoller.noteMessage(now, s.To.Name, c.Node.holdsChangesOf(resp.Digests))
+	if s.To.Control {
+		c.statePoller.noteMessage(now, controlMessage{s.To.Name, resp.Ready, resp.Age, c.Node.holdsChangesOf(resp.Digests)})
 	}
 	accepted = c.learn(now, accepted)
 	return append(accepted, c.Offer(now, c.Members.ReportSuccess(now, s.To.Name)...)...), err
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -26,8 +26,12 @@
 	changesOnlyCallTimeout = 2500 * time.Millisecond
 	// stepInterval is the time between two updates of the membership.
 	stepInterval = 250 * time.Millisecond
-	// confirmInterval is the time between two quorum reads.
-	confirmInterval = time.Second
+	// confirmInterval is the time between the starts of two quorum reads of a control
+	// host.
+	confirmInterval = 250 * time.Millisecond
+	// confirmationTTL is the time for which a control host counts as confirmed after
+	// the start of its last successful quorum read. It bridges one read that is lost.
+	confirmationTTL = 600 * time.Millisecond
 	// methodSync and methodState name the calls among hosts.
 	methodSync  = "sync"
 	methodState = "state"
--- a/internal/exchange/isolated_test.go
+++ b/internal/exchange/isolated_test.go
@@ -106,16 +106,15 @@
 	if m.nodes[host] != c {
 		return
 	}
-	if m.hasQuorum(host) {
-		m.after(4*m.oneWayDelay, func() {
-			c.Node.SetConfirmed(true)
-			m.after(confirmInterval, func() { m.confirm(host, c) })
-		})
-		return
+	begun, timeout, succeeds := m.now, c.Node.confirmTimeout(m.now), m.hasQuorum(host)
+	took := timeout
+	if succeeds {
+		took = min(timeout, 4*m.oneWayDelay)
 	}
-	m.after(confirmInterval, func() {
-		c.Node.SetConfirmed(false)
-		m.after(confirmInterval, func() { m.confirm(host, c) })
+	m.after(took, func() {
+		c.Node.noteQuorumRead(m.now, begun, succeeds && took < timeout)
+		m.wake(host)
+		m.after(max(0, begun.Add(confirmInterval).Sub(m.now)), func() { m.confirm(host, c) })
 	})
 }
 
--- a/internal/exchange/message.go
+++ b/internal/exchange/message.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"time"
+
 	"github.com/mustardramp/mustardramp"
 )
 
@@ -37,6 +39,9 @@
 	// for.
 	Offers []RecordHeader `cbor:"6,keyasint,omitempty"`
 	Fetch  *Fetch         `cbor:"7,keyasint,omitempty"`
+	// Age is the time since the start of the quorum read by which a control host is
+	// ready. Hosts of an older build send none.
+	Age time.Duration `cbor:"8,keyasint,omitempty"`
 
 	// sent lists what Records and Offers carry.
 	sent []recordRef
@@ -94,6 +99,8 @@
 	// Buckets holds the bucket digests of each kind that differs.
 	Buckets map[mustardramp.RecordKind][]uint64 `cbor:"5,keyasint,omitempty"`
 	Page    *Page                               `cbor:"6,keyasint,omitempty"`
+	// Age is the same as Request.Age.
+	Age time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Fetch asks for the records that the sender lacks in a range of key hashes.
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -364,7 +364,7 @@
 // buildRequest returns the next request for the link, or nil if the request would
 // carry nothing and no heartbeat is due.
 func (n *Node) buildRequest(now time.Time, l *peerLink) *Request {
-	r := &Request{From: n.name, Ready: n.ready.isReady, Digests: n.Digests(), Fetch: l.fetch}
+	r := &Request{From: n.name, Ready: n.ready.isReady, Digests: n.Digests(), Fetch: l.fetch, Age: n.confirmationAge(now)}
 	heartbeatDue := !l.heartbeatAt.After(now)
 	if l.peer.ChangesOnly {
 		r.Compare = heartbeatDue && l.mismatches[mustardramp.RecordChange] > 0
--- a/internal/exchange/ready.go
+++ b/internal/exchange/ready.go
@@ -1,6 +1,8 @@
 package exchange
 
 import (
+	"time"
+
 	"github.com/mustardramp/mustardramp"
 )
 
@@ -19,6 +21,8 @@
 	needsQuorum bool
 	// source is what made the host ready.
 	source readySource
+	// confirmedAt is when the last successful quorum read of a control host began.
+	confirmedAt time.Time
 	// synced holds the ready peers that hold the same changes as this host.
 	synced map[mustardramp.HostName]bool
 }
@@ -78,6 +82,40 @@
 	return n.ready.isReady
 }
 
+// confirmTimeout returns the time limit of a quorum read that begins now: the time for
+// which the last one still counts, and confirmInterval at least.
+func (n *Node) confirmTimeout(now time.Time) time.Duration {
+	return max(confirmInterval, n.ready.confirmedAt.Add(confirmationTTL).Sub(now))
+}
+
+// noteQuorumRead records the result of a control host's quorum read. A host that is no
+// longer confirmed sends a heartbeat at once to each host that it sends changes to.
+func (n *Node) noteQuorumRead(now, begun time.Time, succeeded bool) {
+	wasReady := n.ready.isReady
+	n.SetConfirmed(succeeded)
+	if succeeded {
+		n.ready.confirmedAt = begun
+		return
+	}
+	if !wasReady {
+		return
+	}
+	for _, l := range n.links {
+		if l.peer.Direct {
+			l.heartbeatAt, l.statementsAt = now, now
+		}
+	}
+}
+
+// confirmationAge returns the time since the start of the quorum read by which this
+// control host is ready, or 0 on other hosts.
+func (n *Node) confirmationAge(now time.Time) time.Duration {
+	if !n.ready.isReady || n.ready.confirmedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(n.ready.confirmedAt).Truncate(time.Millisecond)
+}
+
 // SetConfirmed sets the readiness of a control host. A control host is ready only
 // while a quorum confirms its log, so that an isolated one makes no other host
 // ready.
--- a/internal/exchange/statepoller.go
+++ b/internal/exchange/statepoller.go
@@ -14,8 +14,12 @@
 
 const (
 	// minSilenceLimit is the time without contact with a control host after which
-	// an entry host asks one: one and a half heartbeats of a changes-only link.
-	minSilenceLimit = 3 * changesOnlyHeartbeat / 2
+	// an entry host asks one: one and a half heartbeats of a changes-only link, and
+	// the age that a confirmation usually has when it is sent.
+	minSilenceLimit = 3*changesOnlyHeartbeat/2 + confirmInterval
+	// unconfirmedTTL is the time for which a control host that has said that no
+	// quorum confirms it is asked after all others.
+	unconfirmedTTL = 3 * changesOnlyHeartbeat
 	// maxSilenceLimit bounds that time for a host to which the answers bring
 	// nothing new: in a large fleet control hosts have direct links to a part of
 	// the hosts only.
@@ -23,12 +27,14 @@
 )
 
 // statePoller decides when an entry host asks a control host for the confirmed
-// state: until the host is ready, when it drains, and after a time without contact.
-// Contact is a message of a control host that a quorum confirms and that holds the
-// same changes as this host. Other messages do not show that this host is up to
-// date. After a network cut the views of both sides take seconds to merge, and
-// polling brings changes without that delay. The zero value asks at once.
+// state: until the host is ready, when it drains, after a time without contact, and
+// when the control host of the last contact has lost its quorum. Contact is a message
+// of a control host that a quorum confirms and that holds the same changes as this
+// host. Other messages do not show that this host is up to date. After a network cut
+// the views of both sides take seconds to merge, and polling brings changes without
+// that delay. The zero value asks at once.
 type statePoller struct {
+	// lastContact is when the quorum read behind the last contact began.
 	lastContact time.Time
 	// contact is the control host of the last contact, or empty.
 	contact mustardramp.HostName
@@ -39,23 +45,54 @@
 	earliest time.Time
 	// polls counts the requests since the last answer.
 	polls int
+	// unconfirmed holds when a control host last said that no quorum confirms it.
+	unconfirmed map[mustardramp.HostName]time.Time
 	// askNow makes the host ask without a silence, until it gets an answer.
 	askNow bool
 }
 
-// noteMessage records a message from a control host that a quorum confirms. One that
-// holds other changes is no contact, but shows that there may be news.
-func (p *statePoller) noteMessage(now time.Time, from mustardramp.HostName, inSync bool) {
+// controlMessage is what a message of a control host says of its state.
+type controlMessage struct {
+	from mustardramp.HostName
+	// confirmed is set if a quorum confirms the host, by a read that began age before
+	// the message was sent.
+	confirmed bool
+	age       time.Duration
+	// inSync is set if the host holds the same changes as this one.
+	inSync bool
+}
+
+// noteMessage records a message from a control host. A confirmed one with other changes
+// is no contact, but shows that there may be news.
+func (p *statePoller) noteMessage(now time.Time, m controlMessage) {
+	if !m.confirmed {
+		if p.unconfirmed == nil {
+			p.unconfirmed = make(map[mustardramp.HostName]time.Time)
+		}
+		p.unconfirmed[m.from] = now
+		if m.from == p.contact {
+			p.contact, p.askNow = "", true
+		}
+		return
+	}
+	delete(p.unconfirmed, m.from)
 	p.silenceLimit = minSilenceLimit
-	if inSync {
-		p.lastContact, p.contact = now, from
+	if confirmedAt := now.Add(-m.age); m.inSync && !confirmedAt.Before(p.lastContact) {
+		p.lastContact, p.contact = confirmedAt, m.from
 	}
 }
 
-// noteState records an answer. If it brought nothing new, the host waits longer
-// before it asks again.
-func (p *statePoller) noteState(now time.Time, isNew bool) {
-	p.lastContact, p.polls, p.askNow = now, 0, false
+// isUnconfirmed reports whether a control host has said within unconfirmedTTL that no
+// quorum confirms it.
+func (p *statePoller) isUnconfirmed(now time.Time, host mustardramp.HostName) bool {
+	at, ok := p.unconfirmed[host]
+	return ok && now.Sub(at) < unconfirmedTTL
+}
+
+// noteState records the answer of a control host. If it brought nothing new, the host
+// waits longer before it asks again.
+func (p *statePoller) noteState(now time.Time, from mustardramp.HostName, isNew bool) {
+	p.lastContact, p.contact, p.polls, p.askNow = now, from, 0, false
 	p.silenceLimit = min(2*max(p.silenceLimit, minSilenceLimit), maxSilenceLimit)
 	if isNew {
 		p.silenceLimit = minSilenceLimit
@@ -77,7 +114,7 @@
 		return netip.AddrPort{}, due
 	}
 	c.statePoller.earliest = now.Add(statePollInterval)
-	hosts := c.controlHosts()
+	hosts := c.controlHosts(now)
 	if len(hosts) == 0 {
 		return netip.AddrPort{}, c.statePoller.earliest
 	}
@@ -95,18 +132,21 @@
 }
 
 // controlHosts lists the addresses of the known control hosts, nearest first, then
-// the seeds, which may be the only way to a control host after a start, and then
-// the control hosts counted as lost: after a network cut all of them are.
-func (c *Core) controlHosts() []netip.AddrPort {
+// the seeds, which may be the only way to a control host after a start, then the
+// control hosts counted as lost, as all are after a network cut, and last those that
+// no quorum confirms.
+func (c *Core) controlHosts(now time.Time) []netip.AddrPort {
 	self := c.Members.Self().Place
 	members := c.Members.List()
 	slices.SortStableFunc(members, func(a, b membership.Member) int {
 		return cmp.Compare(self.To(a.Host.Place), self.To(b.Host.Place))
 	})
-	var all, lost []netip.AddrPort
+	var all, lost, unconfirmed []netip.AddrPort
 	for _, m := range members {
 		switch {
 		case m.Host.Role != membership.Control:
+		case c.statePoller.isUnconfirmed(now, m.Host.Name):
+			unconfirmed = append(unconfirmed, m.Host.Address)
 		case m.Standing == membership.Lost:
 			lost = append(lost, m.Host.Address)
 		default:
@@ -114,11 +154,11 @@
 		}
 	}
 	for _, address := range append(slices.Clone(c.Seeds), lost...) {
-		if !slices.Contains(all, address) {
+		if !slices.Contains(all, address) && !slices.Contains(unconfirmed, address) {
 			all = append(all, address)
 		}
 	}
-	return all
+	return append(all, unconfirmed...)
 }
 
 // stateRequest returns the request for the confirmed state.
@@ -152,8 +192,9 @@
 	}
 	accepted := c.Offer(now, records...)
 	c.Node.Confirm(state.State)
-	c.statePoller.noteState(now, len(accepted) > 0)
-	if name, ok := c.Members.HostAt(control); ok {
+	name, ok := c.Members.HostAt(control)
+	c.statePoller.noteState(now, name, len(accepted) > 0)
+	if ok {
 		accepted = append(accepted, c.Offer(now, c.Members.ReportSuccess(now, name)...)...)
 	}
 	return accepted, nil
--- a/internal/exchange/sync.go
+++ b/internal/exchange/sync.go
@@ -14,7 +14,7 @@
 		return nil, nil, err
 	}
 	accepted := n.merge(now, r.From, records)
-	resp := &Response{Ready: n.ready.isReady, Replies: n.replies(now, r)}
+	resp := &Response{Ready: n.ready.isReady, Age: n.confirmationAge(now), Replies: n.replies(now, r)}
 	if r.Fetch != nil {
 		resp.Page, err = n.page(now, r.Fetch)
 		if err != nil {
