--- a/internal/quorum/large_test.go
+++ b/internal/quorum/large_test.go
@@ -16,7 +16,7 @@
 type nullMachine struct{}
 
 func (nullMachine) Apply(mustardramp.Index, []byte) []byte { return nil }
-func (nullMachine) Snapshot() ([]byte, error)              { return nil, nil }
+func (nullMachine) Snapshot() ([]byte, error)              { return []byte{}, nil }
 func (nullMachine) Restore([]byte) error                   { return nil }
 
 // TestLargeEntriesExceedTheMemory guards against a member that keeps every recent entry
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -13,6 +13,9 @@
 // so that members that are slightly behind need no snapshot.
 const trailingEntries = 4096
 
+// trailingBytes limits the size of the commands of these entries.
+const trailingBytes = 4 << 20
+
 var castagnoliTable = crc32.MakeTable(crc32.Castagnoli)
 
 // encodedSnapshot is a snapshot with its encoding and the checksum of that.
@@ -70,12 +73,24 @@
 	}
 	c.snapshot = snapshot
 	c.pending.snapshot = snapshot
-	if index > trailingEntries {
-		c.log.discardThrough(index - trailingEntries)
-	}
+	c.log.discardThrough(c.log.trailingStart(index))
 	return nil
 }
 
+// trailingStart returns the index after which entries up to the given one stay in
+// memory: trailingEntries at most, with commands of trailingBytes at most.
+func (l *memoryLog) trailingStart(index mustardramp.Index) mustardramp.Index {
+	entries := l.between(l.baseIndex, index)
+	first, size := len(entries), 0
+	for first > 0 && len(entries)-first < trailingEntries {
+		if size += len(entries[first-1].Command); size > trailingBytes {
+			break
+		}
+		first--
+	}
+	return l.baseIndex + mustardramp.Index(first)
+}
+
 func (c *core) startTransfer(id MemberID, p *progress) {
 	p.transfer = &snapshotTransfer{snapshot: c.snapshot}
 	c.sendChunk(id, p)
