--- a/internal/host/common.go
+++ b/internal/host/common.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -46,10 +47,24 @@
 	Seeds    []netip.AddrPort
 	LinkTLS  Files
 	AdminTLS Files
+	// Memory is the memory that the process may use, or 0 if it has no limit.
+	Memory mustardramp.Bytes
 	// Clock defaults to the machine's clock.
 	Clock mustardramp.Clock
 }
 
+// runtimeMemoryShare is the share of the memory that the Go runtime may use before it
+// collects garbage more often. The rest is for what the runtime does not count.
+const runtimeMemoryShare = 0.7
+
+// limitMemory sets the memory limit of the runtime. Without one the heap may grow to
+// twice the live data before garbage is collected.
+func (c *Common) limitMemory() {
+	if c.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(c.Memory) * runtimeMemoryShare))
+	}
+}
+
 func (c *Common) clock() mustardramp.Clock {
 	if c.Clock == nil {
 		return mustardramp.SystemClock{}
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -82,6 +82,7 @@
 		incarnation: config.incarnation(),
 		drained:     make(chan struct{}),
 	}
+	config.limitMemory()
 	var err error
 	if c.tlsConfigs, err = config.loadTLS(Files{}); err != nil {
 		return nil, err
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -98,6 +98,7 @@
 		incarnation: config.incarnation(),
 		drained:     make(chan struct{}),
 	}
+	config.limitMemory()
 	var err error
 	if e.tlsConfigs, err = config.loadTLS(config.TLS); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/host/memory_test.go
@@ -0,0 +1,31 @@
+package host
+
+import (
+	"math"
+	"runtime/debug"
+	"testing"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+// TestHeapOutgrowsTheHost guards against a heap that may grow to twice the live data on a
+// host whose memory that exceeds.
+func TestHeapOutgrowsTheHost(t *testing.T) {
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
+	for name, tc := range map[string]struct {
+		memory mustardramp.Bytes
+		want   int64
+	}{
+		"control host of 280 MiB": {memory: 280 << 20, want: 196 << 20},
+		"no limit":                {want: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			debug.SetMemoryLimit(math.MaxInt64)
+			c := Common{Memory: tc.memory}
+			c.limitMemory()
+			if got := debug.SetMemoryLimit(-1); got != tc.want {
+				t.Errorf("got a memory limit of %d bytes, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -171,6 +171,16 @@
 	}
 }
 
+// minMemory is the least memory that a host can work with.
+const minMemory mustardramp.Bytes = 32 << 20
+
+// Memory checks the memory that a process may use. 0 stands for no limit.
+func (c *Checker) Memory(flag string, memory mustardramp.Bytes) {
+	if memory != 0 && memory < minMemory {
+		c.addFault(flag, fmt.Sprintf("%d bytes are less than %d", memory, minMemory), "give the bytes that the process may use, or 0 for no limit")
+	}
+}
+
 // Pair checks that a certificate and its key are both named or both left out, and
 // that the files can be read.
 func (c *Checker) Pair(certFlag, cert, keyFlag, key string) {
--- a/pkg/cmd/factory/common.go
+++ b/pkg/cmd/factory/common.go
@@ -23,6 +23,7 @@
 	AdminCert   string            `help:"PEM file of the administration API's certificate; turns TLS on." env:"MUSTARDRAMP_ADMIN_TLS_CERT"`
 	AdminKey    string            `help:"PEM file of the administration certificate's key." env:"MUSTARDRAMP_ADMIN_TLS_KEY"`
 	AdminCA     string            `help:"PEM file of the authority of operators' certificates." env:"MUSTARDRAMP_ADMIN_TLS_CA"`
+	Memory      mustardramp.Bytes `help:"Memory that the process may use, in bytes; 0 sets no limit." default:"0" env:"MUSTARDRAMP_MEMORY"`
 }
 
 // Check returns the flags as settings of a host. It reports invalid flags to check.
@@ -40,6 +41,7 @@
 		Control:    check.Members("--control", c.Control),
 		LinkTLS:    host.Files{Cert: c.LinkCert, Key: c.LinkKey, CA: c.LinkCA},
 		AdminTLS:   host.Files{Cert: c.AdminCert, Key: c.AdminKey, CA: c.AdminCA},
+		Memory:     c.Memory,
 	}
 	check.Name("--name", c.Name)
 	check.Place(common.Place, zones)
@@ -48,6 +50,7 @@
 	check.Pair("--admin-cert", c.AdminCert, "--admin-key", c.AdminKey)
 	check.File("--link-ca", c.LinkCA)
 	check.File("--admin-ca", c.AdminCA)
+	check.Memory("--memory", c.Memory)
 	for _, seed := range c.Seeds {
 		if address := check.Address("--seeds", seed); address.IsValid() {
 			common.Seeds = append(common.Seeds, address)
