Send messages that do not fit one packet in parts

Cause: an entry longer than a message between hosts was appended and sent again for ever; each time the whole packet was dropped. Now messages of more than 1 MiB are compressed and sent in parts of 256 KiB, which the receiver joins in order; a lost part drops what came with it, and the members repeat it.

Before, four of five small commands beside one of 10 MiB were not committed (TestLargeEntryHoldsUpLaterOnes). Members of an older build drop parts; they could not take these entries before either.

--- a/internal/quorum/large_test.go
+++ b/internal/quorum/large_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,3 +83,42 @@
 	}
 	_ = large.Wait()
 }
+
+// TestPartsAreJoined checks that messages sent in parts arrive whole or not at all.
+func TestPartsAreJoined(t *testing.T) {
+	command := make([]byte, 5*partBytes)
+	random := rand.NewChaCha8([32]byte{})
+	_, _ = random.Read(command)
+	parts, err := splitMessages([]Message{{Request: 7, Entries: []Entry{{Command: command}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(parts) < 5 {
+		t.Fatalf("got %d parts, want 5 or more", len(parts))
+	}
+	without := func(i int) []*part { return slices.Concat(parts[:i], parts[i+1:]) }
+	for name, tc := range map[string]struct {
+		parts []*part
+		whole bool
+	}{
+		"all":                      {parts: parts, whole: true},
+		"first lost":               {parts: without(0)},
+		"middle lost":              {parts: without(2)},
+		"last lost":                {parts: parts[:len(parts)-1]},
+		"one twice":                {parts: slices.Insert(slices.Clone(parts), 2, parts[1])},
+		"begun anew after a loss":  {parts: slices.Concat(parts[:3], parts), whole: true},
+		"all, after a lost middle": {parts: slices.Concat(without(2), parts), whole: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a assembly
+			var got []Message
+			for _, p := range tc.parts {
+				got = append(got, a.add(p)...)
+			}
+			isWhole := len(got) == 1 && got[0].Request == 7 && bytes.Equal(got[0].Entries[0].Command, command)
+			if isWhole != tc.whole || !tc.whole && len(got) > 0 {
+				t.Errorf("got %d messages, whole: %t, want whole: %t", len(got), isWhole, tc.whole)
+			}
+		})
+	}
+}
--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -45,6 +45,13 @@
 	// when this one was sent. The receiver need not wait for those: if it has not
 	// seen them, an earlier start of its host has.
 	Answered uint64 `cbor:"5,keyasint,omitempty"`
+	// Part is set in place of Messages if these are sent in several packets.
+	Part *part `cbor:"6,keyasint,omitempty"`
+}
+
+// isEmpty reports whether the packet carries nothing.
+func (p *packet) isEmpty() bool {
+	return len(p.Messages) == 0 && p.Part == nil
 }
 
 // packetReply is the empty reply to a packet.
@@ -182,10 +189,12 @@
 // resequencer restores the order of the packets of one host.
 type resequencer struct {
 	stream uint64
-	// next is the number of the next packet to pass on; buffered holds the
-	// messages of later packets by number.
+	// next is the number of the next packet to pass on; buffered holds later packets
+	// by number.
 	next     uint64
-	buffered map[uint64][]Message
+	buffered map[uint64]packet
+	// parts holds the parts that were passed on and are not complete yet.
+	parts assembly
 }
 
 // accept takes a packet and returns the messages to pass on now. A packet that
@@ -202,9 +211,9 @@
 		return p.Messages
 	}
 	if r.buffered == nil {
-		r.buffered = map[uint64][]Message{}
+		r.buffered = map[uint64]packet{}
 	}
-	r.buffered[p.Number] = p.Messages
+	r.buffered[p.Number] = p
 	due := r.takeBelow(p.Answered)
 	if len(r.buffered) >= maxBufferedPackets {
 		r.next = slices.Min(slices.Collect(maps.Keys(r.buffered)))
@@ -222,7 +231,7 @@
 	var due []Message
 	for _, n := range slices.Sorted(maps.Keys(r.buffered)) {
 		if n < number {
-			due = append(due, r.buffered[n]...)
+			due = append(due, r.messages(r.buffered[n])...)
 			delete(r.buffered, n)
 		}
 	}
@@ -234,16 +243,24 @@
 func (r *resequencer) takeDue() []Message {
 	var due []Message
 	for {
-		messages, ok := r.buffered[r.next]
+		p, ok := r.buffered[r.next]
 		if !ok {
 			return due
 		}
 		delete(r.buffered, r.next)
-		due = append(due, messages...)
+		due = append(due, r.messages(p)...)
 		r.next++
 	}
 }
 
+// messages returns the messages that a packet carries or completes.
+func (r *resequencer) messages(p packet) []Message {
+	if p.Part != nil {
+		return r.parts.add(p.Part)
+	}
+	return p.Messages
+}
+
 // hostSender sends messages to one host.
 type hostSender struct {
 	links   *Links
@@ -253,6 +270,9 @@
 
 	mu    sync.Mutex
 	queue []Message
+	// parts holds the rest of messages that are sent in several packets. They go before
+	// the queue.
+	parts []*part
 	// stream and number are those of the next packet.
 	stream uint64
 	number uint64
@@ -288,13 +308,9 @@
 		s.number = 0
 		s.unanswered = nil
 	}
-	count := 0
-	for size := 0; count < len(s.queue) && size < targetPacketBytes; count++ {
-		size += approximateSize(s.queue[count])
-	}
-	p := packet{From: s.links.self, Stream: s.stream, Number: s.number, Messages: s.queue[:count:count], Answered: s.answered()}
-	s.queue = s.queue[count:]
-	if count > 0 {
+	p := packet{From: s.links.self, Stream: s.stream, Number: s.number, Answered: s.answered()}
+	p.Messages, p.Part = s.take()
+	if !p.isEmpty() {
 		if s.unanswered == nil {
 			s.unanswered = map[uint64]bool{}
 		}
@@ -304,6 +320,31 @@
 	return p
 }
 
+// take removes the next part from the queue, or the messages of a packet.
+func (s *hostSender) take() ([]Message, *part) {
+	if len(s.parts) > 0 {
+		next := s.parts[0]
+		s.parts = s.parts[1:]
+		return nil, next
+	}
+	count, size := 0, 0
+	for ; count < len(s.queue) && size < targetPacketBytes; count++ {
+		size += approximateSize(s.queue[count])
+	}
+	messages := s.queue[:count:count]
+	s.queue = s.queue[count:]
+	if size <= maxWholePacketBytes {
+		return messages, nil
+	}
+	parts, err := splitMessages(messages)
+	if err != nil {
+		klog.ErrorS(err, "packet-not-encoded", "method", s.links.method)
+		return nil, nil
+	}
+	s.parts = parts[1:]
+	return nil, parts[0]
+}
+
 // answered returns the number below which all packets of the stream are answered.
 func (s *hostSender) answered() uint64 {
 	lowest := s.number
@@ -345,7 +386,7 @@
 			return ctx.Err()
 		case <-s.wake:
 		}
-		for p := s.nextPacket(); len(p.Messages) > 0; p = s.nextPacket() {
+		for p := s.nextPacket(); !p.isEmpty(); p = s.nextPacket() {
 			calls.Go(func() error {
 				s.send(ctx, p)
 				return nil
@@ -370,7 +411,7 @@
 	klog.V(1).InfoS("packet-lost", "method", s.links.method, "cause", err)
 	s.mu.Lock()
 	s.hasFailed = true
-	s.queue = nil
+	s.queue, s.parts = nil, nil
 	s.mu.Unlock()
 	pause := time.NewTimer(failurePause)
 	defer pause.Stop()
