--- a/internal/exchange/statepoller.go
+++ b/internal/exchange/statepoller.go
@@ -70,9 +70,7 @@
 			p.unconfirmed = make(map[mustardramp.HostName]time.Time)
 		}
 		p.unconfirmed[m.from] = now
-		if m.from == p.contact {
-			p.contact, p.askNow = "", true
-		}
+		p.askNow = p.askNow || m.from == p.contact
 		return
 	}
 	delete(p.unconfirmed, m.from)
