Halve the longest head of a backend's answer that is read

The limit is 128 KiB now; callers may send us 64 KiB.

The test was wrong in two ways and is as strict as before: it counted garbage that was made while it measured, and it needed 16 attempts to begin although a caller whose deadline had passed made none.

--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/metrics"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -106,7 +108,7 @@
 func TestOtherCallersBesideEndlessAnswers(t *testing.T) {
 	const (
 		endless = 16
-		served  = 20
+		others  = 20
 		// limit is less than a tenth of the memory of the smallest hosts.
 		limit = 16 << 20
 		// endlessTimeout is the deadline of the requests with endless answers, and
@@ -139,27 +141,40 @@
 				}
 			})
 			f := newTableFixture(t, address)
-			before := heapBytes()
+			before := heldBytes()
 			var callers errgroup.Group
+			var served atomic.Bool
 			for range endless {
 				callers.Go(func() error {
-					response := f.send(t, http.MethodGet, "/reads/endless", "", "X-Request-Id", "r1", "X-Left-Ms", fmt.Sprint(endlessTimeout.Milliseconds()))
-					_, _ = io.Copy(io.Discard, response.Body)
+					for !served.Load() {
+						response := f.send(t, http.MethodGet, "/reads/endless", "", "X-Request-Id", "r1", "X-Left-Ms", fmt.Sprint(endlessTimeout.Milliseconds()))
+						_, _ = io.Copy(io.Discard, response.Body)
+					}
 					return nil
 				})
 			}
 			eventually(t, "start of the endless answers", func() bool { return begun.Load() >= endless })
-			for range served {
+			for range others {
 				response := f.send(t, http.MethodGet, "/reads/1", "", "X-Request-Id", "r1", "X-Left-Ms", fmt.Sprint(servedTimeout.Milliseconds()))
 				if got := readBody(t, response); response.StatusCode != http.StatusOK || got != "ok" {
 					t.Errorf("other caller: got status %d and body %q, want %d and ok", response.StatusCode, got, http.StatusOK)
 				}
-				if got := heapBytes() - before; got > limit {
+				if got := heldBytes() - before; got > limit {
 					t.Errorf("memory: got %d bytes more, want at most %d", got, limit)
 				}
 			}
+			served.Store(true)
 			_ = callers.Wait()
 			eventually(t, "release of the slots", f.pool.isIdle)
 		})
 	}
 }
+
+// heldBytes returns the bytes of the heap that were reachable at a garbage collection.
+// What is allocated meanwhile and not kept does not count.
+func heldBytes() int64 {
+	runtime.GC()
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	return int64(live[0].Value.Uint64())
+}
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -16,7 +16,7 @@
 	dialTimeout            = 400 * time.Millisecond
 	backendIdleTimeout     = 4 * time.Second
 	continueTimeout        = 5 * time.Second
-	maxResponseHeaderBytes = 256 << 10
+	maxResponseHeaderBytes = 128 << 10
 	maxIdlePerBackend      = 64
 	transportBufferSize    = 4 << 10
 )
