--- a/internal/exchange/isolated_test.go
+++ b/internal/exchange/isolated_test.go
@@ -69,13 +69,13 @@
 				m.offerAtControls(change("*", epoch, size), nil)
 				m.run(reconnectBound)
 				m.isolateControls(tc.isolated)
-				inTouch := m.now.Add(reconnectBound)
+				connected := m.now.Add(reconnectBound)
 				late := map[mustardramp.HostName]int{}
 				for range changes {
 					epoch++
 					want := epoch
 					m.offerAtControls(change("*", epoch, size), tc.isolated)
-					m.after(later(m.now.Add(inForce), inTouch).Sub(m.now), func() {
+					m.after(later(m.now.Add(inForce), connected).Sub(m.now), func() {
 						for i := controls; i < hosts; i++ {
 							if uint64(m.nodes[hostName(i)].Node.Newest()) < want {
 								late[hostName(i)]++
--- a/internal/host/memory_test.go
+++ b/internal/host/memory_test.go
@@ -8,8 +8,8 @@
 	"github.com/mustardramp/mustardramp"
 )
 
-// TestHeapOutgrowsTheHost guards against a heap that may grow to twice the live data on a
-// host whose memory that exceeds.
+// TestHeapOutgrowsTheHost guards against a heap that grows to twice the live data and
+// beyond the memory of the host before garbage is collected.
 func TestHeapOutgrowsTheHost(t *testing.T) {
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(-1))
 	for name, tc := range map[string]struct {
--- a/internal/lease/exclusion.go
+++ b/internal/lease/exclusion.go
@@ -44,15 +44,15 @@
 	changedAt time.Time
 }
 
-// isStated reports whether the backend itself wants no requests of this host.
-func (e *exclusion) isStated(now time.Time) bool {
+// declinesRequests reports whether the backend itself wants no requests of this host.
+func (e *exclusion) declinesRequests(now time.Time) bool {
 	return e.leaving || now.Before(e.quietUntil)
 }
 
 // isWithdrawn reports whether slots of the backend that were granted before must not be
 // used.
 func (e *exclusion) isWithdrawn(now time.Time) bool {
-	return e.departed || e.isStated(now)
+	return e.departed || e.declinesRequests(now)
 }
 
 // isActive reports whether this host must not use the backend.
@@ -310,7 +310,7 @@
 	now := p.clock.Now()
 	var out []Exclusion
 	for id, e := range p.exclusions.all() {
-		if e.isStated(now) {
+		if e.declinesRequests(now) {
 			out = append(out, Exclusion{Backend: id, Incarnation: e.incarnation, Leaving: e.leaving, Quiet: max(0, e.quietUntil.Sub(now)), Age: now.Sub(e.notedAt)})
 		}
 	}
--- a/internal/quorum/large_test.go
+++ b/internal/quorum/large_test.go
@@ -55,16 +55,16 @@
 // must not wait for each other for longer than bound.
 func TestLargeEntryHoldsUpLaterOnes(t *testing.T) {
 	const (
-		size   = 10 << 20 // the bytes of a table of 39,000 routes
-		bound  = 500 * time.Millisecond
-		decide = 5 * time.Second
+		size           = 10 << 20 // the bytes of a table of 39,000 routes
+		bound          = 500 * time.Millisecond
+		proposeTimeout = 5 * time.Second
 	)
 	members := startLinkedMembers(t, 3, "", func() mustardramp.StateMachine { return nullMachine{} })
 	leader := members[0].group
 	if _, err := leader.Propose(t.Context(), []byte("first")); err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), decide)
+	ctx, cancel := context.WithTimeout(t.Context(), proposeTimeout)
 	defer cancel()
 	var large errgroup.Group
 	large.Go(func() error {
@@ -74,7 +74,7 @@
 	time.Sleep(bound / 10)
 	for range 5 {
 		began := time.Now()
-		small, stop := context.WithTimeout(t.Context(), decide)
+		small, stop := context.WithTimeout(t.Context(), proposeTimeout)
 		_, err := leader.Propose(small, []byte("small"))
 		stop()
 		if took := time.Since(began); err != nil || took > bound {
--- a/internal/quorum/parts.go
+++ b/internal/quorum/parts.go
@@ -10,8 +10,8 @@
 
 const (
 	// maxWholePacketBytes is the approximate size above which the messages of a packet
-	// are sent in several packets. A link carries no message of several times that
-	// size.
+	// are sent in several packets. It is well below link.DefaultMaxMessage, since the
+	// encoding on a link is longer.
 	maxWholePacketBytes = 1 << 20
 	// partBytes is the maximum size of the data in one part.
 	partBytes = 256 << 10
