Limit the bytes of packets in flight between control hosts

Cause: a member limits the packets in flight to a peer by their number, 16, and not by their size. With large entries each packet carries up to 1 MB, and while it awaits its answer it exists as CBOR, as base64, as JSON and in the buffers of the connection. Four peers that answer slowly hold 64 of them. That is why the case depends on the machine: the slower the loopback, the more packets are in flight.

Change: the packets in flight to one host hold 512 KiB at most; messages above 256 KiB go in compressed parts, which fit that limit.

TestPacketsInFlightExceedTheMemory failed before: 78,647,680 bytes in flight to 4 peers, want at most 4,893,354; three runs of three. It passes now.

--- a/internal/quorum/large_test.go
+++ b/internal/quorum/large_test.go
@@ -3,15 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/link"
 )
 
 // nullMachine keeps nothing of the commands that it applies.
@@ -122,3 +126,62 @@
 		})
 	}
 }
+
+// slowPeer answers each call after a delay and records the greatest size of the calls
+// that waited for an answer at the same time.
+type slowPeer struct {
+	delay         time.Duration
+	waiting, peak *atomic.Int64
+	answered      chan<- struct{}
+}
+
+func (p *slowPeer) Invoke(_ context.Context, _ string, params json.RawMessage) (json.RawMessage, error) {
+	waiting := p.waiting.Add(int64(len(params)))
+	for peak := p.peak.Load(); waiting > peak && !p.peak.CompareAndSwap(peak, waiting); {
+		peak = p.peak.Load()
+	}
+	time.Sleep(p.delay)
+	p.waiting.Add(-int64(len(params)))
+	p.answered <- struct{}{}
+	return json.RawMessage(`"oA=="`), nil
+}
+
+// TestPacketsInFlightExceedTheMemory guards against a member that sends large messages
+// to slow peers without a limit on their bytes, until its process is killed.
+func TestPacketsInFlightExceedTheMemory(t *testing.T) {
+	const (
+		peerCount = 4
+		messages  = 24
+		size      = 900 << 10
+		delay     = 50 * time.Millisecond
+		// A control host has 280 MB. A tenth of that is for packets in flight, of
+		// which each exists in up to six encodings and buffers.
+		limit = 28 << 20 / 6
+	)
+	random := rand.NewChaCha8([32]byte{1})
+	command := make([]byte, size)
+	_, _ = random.Read(command)
+	var waiting, peak atomic.Int64
+	answered := make(chan struct{}, 1<<16)
+	peers := map[mustardramp.HostName]link.Invoker{}
+	for i := range peerCount {
+		peers[mustardramp.HostName(fmt.Sprintf("host-%d", i))] = &slowPeer{delay: delay, waiting: &waiting, peak: &peak, answered: answered}
+	}
+	links := NewLinks("slow", "self", peers)
+	ctx, cancel := context.WithCancel(t.Context())
+	var work errgroup.Group
+	work.Go(func() error { return links.Run(ctx) })
+	for range messages {
+		for host := range peers {
+			links.Send(host, Message{Kind: MessageAppend, Entries: []Entry{{Command: command}}})
+		}
+	}
+	for range peerCount * messages {
+		<-answered
+	}
+	cancel()
+	_ = work.Wait()
+	if got := peak.Load(); got > limit {
+		t.Errorf("got %d bytes in flight to %d peers, want at most %d", got, peerCount, limit)
+	}
+}
--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp"
@@ -24,6 +25,10 @@
 	targetPacketBytes = 512 << 10
 	// maxPacketsInFlight limits the concurrent calls to one host.
 	maxPacketsInFlight = 16
+	// maxBytesInFlight limits the approximate size of the packets of these calls. A
+	// packet takes several times its size until it is answered, since its encodings
+	// are buffered as well.
+	maxBytesInFlight = 512 << 10
 	// maxBufferedPackets is the number of packets waiting for an earlier one at
 	// which the missing packet is skipped.
 	maxBufferedPackets = 64
@@ -54,6 +59,18 @@
 	return len(p.Messages) == 0 && p.Part == nil
 }
 
+// size returns an estimate of the encoded size of the packet, in bytes.
+func (p *packet) size() int {
+	size := 0
+	for _, m := range p.Messages {
+		size += approximateSize(m)
+	}
+	if p.Part != nil {
+		size += len(p.Part.Data)
+	}
+	return size
+}
+
 // packetReply is the empty reply to a packet.
 type packetReply struct{}
 
@@ -380,6 +397,7 @@
 	var calls errgroup.Group
 	calls.SetLimit(maxPacketsInFlight)
 	defer func() { _ = calls.Wait() }()
+	bytesInFlight := semaphore.NewWeighted(maxBytesInFlight)
 	for {
 		select {
 		case <-ctx.Done():
@@ -387,7 +405,12 @@
 		case <-s.wake:
 		}
 		for p := s.nextPacket(); !p.isEmpty(); p = s.nextPacket() {
+			size := int64(min(p.size(), maxBytesInFlight))
+			if err := bytesInFlight.Acquire(ctx, size); err != nil {
+				return err
+			}
 			calls.Go(func() error {
+				defer bytesInFlight.Release(size)
 				s.send(ctx, p)
 				return nil
 			})
--- a/internal/quorum/parts.go
+++ b/internal/quorum/parts.go
@@ -10,9 +10,9 @@
 
 const (
 	// maxWholePacketBytes is the approximate size above which the messages of a packet
-	// are sent in several packets. It is well below link.DefaultMaxMessage, since the
-	// encoding on a link is longer.
-	maxWholePacketBytes = 1 << 20
+	// are sent in several packets. Parts are compressed and fit maxBytesInFlight, so
+	// that large messages take little memory while they are sent.
+	maxWholePacketBytes = 256 << 10
 	// partBytes is the maximum size of the data in one part.
 	partBytes = 256 << 10
 	// maxAssembledBytes limits the decompressed size of messages that came in parts.
