Limit the size of configurations that a control host reads at once

Cause: up to eight orders may be in progress, all of them at one control host, and each takes about twelve times its size as text, decoded table and encoded command. Their number alone decided the memory.

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -59,6 +59,7 @@
 	// first.
 	groups  []*group
 	ledgers []*ledger.Server
+	orders  orderBudget
 	// drained is closed when an operator drains the host.
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -81,6 +82,7 @@
 		clock:       config.clock(),
 		incarnation: config.incarnation(),
 		drained:     make(chan struct{}),
+		orders:      newOrderBudget(config.Memory),
 	}
 	config.limitMemory()
 	var err error
