--- a/kind.go
+++ b/kind.go
@@ -74,6 +74,11 @@
 	// KindQuiet means that every backend that may take the request wants no
 	// requests of this host for now.
 	KindQuiet
+	// KindUnauthorized means that the request lacks the key of a workspace, or that no
+	// workspace has the key.
+	KindUnauthorized
+	// KindQuota means that the workspace of the request has used up its quota.
+	KindQuota
 	// KindCount is the number of kinds, KindUnknown included.
 	KindCount
 )
@@ -113,6 +118,8 @@
 	KindCallerGone:      {"caller-gone", http.StatusBadRequest},
 
 	KindQuiet:        {"quiet", http.StatusServiceUnavailable},
+	KindUnauthorized: {"unauthorized", http.StatusUnauthorized},
+	KindQuota:        {"quota", http.StatusTooManyRequests},
 	KindBodyTooLarge: {"body-too-large", http.StatusRequestEntityTooLarge},
 }
 
