Let repeatable requests be the first at backends that may have failed

Cause: backends fail in periods of some seconds, and the first request that goes there shows it. Which one that was did not depend on whether it could be sent again: an idempotent request has a second attempt, one that must not repeat ends as failed.

In a service of one kind nothing changes.

--- a/internal/pool/choice.go
+++ b/internal/pool/choice.go
@@ -19,7 +19,9 @@
 	members []*member
 	tried   []mustardramp.BackendID
 	place   mustardramp.Place
-	size    mustardramp.Bytes
+	// failureCost is the cost of a failed attempt relative to that of a failed request.
+	failureCost float64
+	size        mustardramp.Bytes
 	// limits bounds the members that are eligible.
 	limits costLimits
 	// at is the time of the decision in Unix nanoseconds.
@@ -189,7 +191,7 @@
 			continue
 		}
 		utilization := c.Utilization(i)
-		cost := c.Risk(i) + fullBackendCost*utilization*utilization + c.NetworkCost(i)
+		cost := c.failureCost*c.Risk(i) + fullBackendCost*utilization*utilization + c.NetworkCost(i)
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -84,6 +84,8 @@
 	// leaseOverhead measures the message delays that add to the duration of a
 	// lease.
 	leaseOverhead leaseOverhead
+	// onceShare tells whether the service has requests that cannot be retried.
+	onceShare onceShare
 	// meanSlotTimes are the moving mean slot times by rank in nanoseconds.
 	meanSlotTimes [mustardramp.RankCount]atomic.Int64
 
@@ -141,6 +143,7 @@
 	if !demand.Deadline.IsZero() && !now.Before(demand.Deadline) {
 		return Lease{}, nil, c.pastDeadlineDenial(demand)
 	}
+	c.onceShare.observe(&demand)
 	if c.queued.Load() == 0 && (!demand.RequireHealthy || c.hasAcceptableBackend(now, c.view.Load(), &demand)) {
 		if reserved := c.tryReserve(now, &demand, now); reserved.member != nil {
 			return c.lease(now, reserved, demand.Rank), nil, nil
@@ -452,7 +455,10 @@
 
 // choose takes a slot at one member of a tier.
 func (c *Core) choose(tier []*member, demand *mustardramp.Demand, at int64, random uint64, l costLimits) *member {
-	choice := Choice{members: tier, tried: demand.Tried, place: demand.Place, size: demand.Size, limits: l, at: at, random: random}
+	choice := Choice{members: tier, tried: demand.Tried, place: demand.Place, size: demand.Size, limits: l, at: at, random: random, failureCost: 1}
+	if c.isCanary(demand) {
+		choice.failureCost = canaryFailureCost
+	}
 	for range maxChoiceAttempts {
 		var i int
 		if c.strategy == nil {
--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -34,6 +34,9 @@
 	at := now.UnixNano()
 	var found *member
 	most := 1.0
+	if c.isCanary(demand) {
+		most = canaryProbeRatio
+	}
 	for _, tier := range v.tiers {
 		choice.members = tier
 		for i, m := range tier {
--- a/internal/pool/risk_test.go
+++ b/internal/pool/risk_test.go
@@ -59,6 +59,8 @@
 	perSecond float64
 	// partitioned is the number of backends that some hosts cannot reach.
 	partitioned int
+	// idempotentShare is the share of the requests that may be repeated.
+	idempotentShare float64
 }
 
 // replayResult summarizes a replay.
@@ -67,6 +69,9 @@
 	// and were probes, and risky the share sent to a backend that was likely to
 	// be unhealthy.
 	failed, probes, risky float64
+	// failedOnce is the share of the attempts of requests that must not be repeated
+	// that failed.
+	failedOnce float64
 	// sentAt and failedAt are the times of the attempts and of the failures by
 	// backend, unhealthySpans the times in which each backend was unhealthy.
 	sentAt, failedAt [][]time.Time
@@ -112,6 +117,7 @@
 	var inFlight []flight
 	out := replayResult{sentAt: make([][]time.Time, s.backends), failedAt: make([][]time.Time, s.backends)}
 	attempts, failed, probes, risky := 0, 0, 0, 0
+	once, failedOnce := 0, 0
 	end := now.Add(replayTime)
 	for now.Before(end) {
 		now = now.Add(time.Duration(random.ExpFloat64() / s.perSecond * float64(time.Second)))
@@ -131,7 +137,8 @@
 			core.Finish(f.ends, f.lease, result, f.ends.Sub(f.began))
 		}
 		inFlight = kept
-		lease, ticket, denial := core.Offer(now, mustardramp.Demand{Rank: mustardramp.Urgent})
+		idempotent := s.idempotentShare > 0 && random.Float64() < s.idempotentShare
+		lease, ticket, denial := core.Offer(now, mustardramp.Demand{Rank: mustardramp.Urgent, Idempotent: idempotent})
 		if denial != nil || ticket != nil && !lease.Valid() {
 			if ticket != nil {
 				core.Withdraw(ticket)
@@ -144,6 +151,9 @@
 			continue
 		}
 		attempts++
+		if !idempotent {
+			once++
+		}
 		out.sentAt[i] = append(out.sentAt[i], now)
 		if lease.member.risk(now.UnixNano()) >= maxRiskLimit {
 			risky++
@@ -155,6 +165,9 @@
 		}
 		if bad {
 			failed++
+			if !idempotent {
+				failedOnce++
+			}
 			if lease.probe {
 				probes++
 			}
@@ -167,6 +180,7 @@
 	}
 	out.unhealthySpans = states.spans
 	out.failed, out.probes, out.risky = float64(failed)/float64(attempts), float64(probes)/float64(attempts), float64(risky)/float64(attempts)
+	out.failedOnce = float64(failedOnce) / float64(max(1, once))
 	return out
 }
 
@@ -215,11 +229,11 @@
 		maxRisky = 0.001
 	)
 	tests := map[string]scenario{
-		"mohor, one region":               {quietDayFaults, 11, 25, 0},
-		"mohor, some paths cut":           {quietDayFaults, 11, 25, 4},
-		"tildeling, some paths cut":       {quietDayFaults, 8, 30, 3},
-		"tildeling grown, one of 3 parts": {quietDayFaults, 22, 51, 9},
-		"patha grown, one of 2 parts":     {quietDayFaults, 18, 60, 0},
+		"mohor, one region":               {faults: quietDayFaults, backends: 11, perSecond: 25, partitioned: 0},
+		"mohor, some paths cut":           {faults: quietDayFaults, backends: 11, perSecond: 25, partitioned: 4},
+		"tildeling, some paths cut":       {faults: quietDayFaults, backends: 8, perSecond: 30, partitioned: 3},
+		"tildeling grown, one of 3 parts": {faults: quietDayFaults, backends: 22, perSecond: 51, partitioned: 9},
+		"patha grown, one of 2 parts":     {faults: quietDayFaults, backends: 18, perSecond: 60, partitioned: 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -307,3 +321,42 @@
 		t.Errorf("got %v after the wait, want a backend of the other zone", lease)
 	}
 }
+
+// TestRepeatableRequestsMeetNewFailures guards against requests that must not be repeated
+// being the ones that find out that a backend has become unhealthy, although others that
+// can be retried go to the same backends. At least a quarter of their failures must be
+// spared. A service of repeatable requests alone must not fail more often.
+func TestRepeatableRequestsMeetNewFailures(t *testing.T) {
+	const seeds = 10
+	mean := func(backends int, share float64, of func(replayResult) float64) float64 {
+		sum := 0.0
+		for seed := range uint64(seeds) {
+			s := scenario{faults: quietDayFaults, backends: backends, perSecond: 5 * float64(backends), idempotentShare: share}
+			sum += of(replay(LowestCost{}, true, s, seed)) / seeds
+		}
+		return sum
+	}
+	for name, tc := range map[string]struct {
+		backends int
+		share    float64
+	}{
+		"one in five, one group":  {12, 0.2},
+		"one in five, one region": {43, 0.2},
+		"half":                    {12, 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			alone := mean(tc.backends, 0, func(r replayResult) float64 { return r.failedOnce })
+			got := mean(tc.backends, tc.share, func(r replayResult) float64 { return r.failedOnce })
+			if got > 0.75*alone {
+				t.Errorf("got a share of %.4f failed, want at most three quarters of the %.4f without repeatable requests", got, alone)
+			}
+		})
+	}
+	t.Run("repeatable requests alone", func(t *testing.T) {
+		without := mean(12, 0, func(r replayResult) float64 { return r.failed })
+		got := mean(12, 1, func(r replayResult) float64 { return r.failed })
+		if got > 1.1*without {
+			t.Errorf("got a share of %.4f failed, want about the %.4f of requests that are not repeatable", got, without)
+		}
+	})
+}
