Add workspaces and anonymous routes to the routing table

Cause: a routing table could not state which callers share keys, a quota and a priority.

Change: Table.Workspaces and TableRoute.Anonymous, with checks and faults that name lines and workspaces but never keys. Fields that may be left out are pointers, so that a table is read back as it was written. YAML errors no longer quote the lines of the file, which now hold keys. Tables without workspaces keep their text.

Tests seen to fail with the rule removed: TestWorkspaceRankHasWait got a wait of 0s in rank normal, want 7s; TestParseErrorsHoldNoKeys got the line with the key; TestTableOfEarlierVersion got an additional field.

--- a/pkg/contract/compiled_table.go
+++ b/pkg/contract/compiled_table.go
@@ -31,6 +31,10 @@
 	version TableVersion
 	// hosts maps a host in lower case to its routes, longest prefix first.
 	hosts map[string][]*Route
+	// workspaces holds the workspaces in the order of the table. byKey maps the
+	// SHA-256 of a key to the index of its workspace.
+	workspaces []*Workspace
+	byKey      map[keyDigest]int32
 }
 
 // parseTableContract reads a routing table into a Contract, so that tables are
@@ -47,7 +51,8 @@
 func compileTable(c *Contract) (*compiledTable, []*Contract) {
 	t := c.Table
 	compiled := &compiledTable{version: t.Version, hosts: map[string][]*Route{}}
-	ranks := ranksByPriority(t.Routes)
+	ranks := ranksByPriority(t)
+	compiled.addWorkspaces(t.Workspaces, ranks)
 	for i := range t.Routes {
 		r := compileRoute(&t.Routes[i], ranks)
 		r.Line = firstRouteLine + i
@@ -60,13 +65,18 @@
 	return compiled, serviceContracts(c, compiled)
 }
 
-// ranksByPriority maps the priorities of the routes to ranks: the lowest priority
-// value to the most valuable rank, and so on. All priorities after the last rank
-// share it.
-func ranksByPriority(routes []TableRoute) map[int]mustardramp.Rank {
+// ranksByPriority maps the priorities of the routes and workspaces to ranks: the
+// lowest priority value to the most valuable rank, and so on. All priorities after
+// the last rank share it.
+func ranksByPriority(t *Table) map[int]mustardramp.Rank {
 	var priorities []int
-	for i := range routes {
-		priorities = append(priorities, routes[i].Priority)
+	for i := range t.Routes {
+		priorities = append(priorities, t.Routes[i].Priority)
+	}
+	for i := range t.Workspaces {
+		if p := t.Workspaces[i].Priority; p != nil {
+			priorities = append(priorities, *p)
+		}
 	}
 	slices.Sort(priorities)
 	ranks := map[int]mustardramp.Rank{}
@@ -89,6 +99,8 @@
 		Target:   time.Duration(t.Target),
 		Tries:    t.Tries,
 		Parts:    t.parts(),
+
+		Anonymous: t.Anonymous != nil && *t.Anonymous,
 	}
 	if r.Deadline == 0 {
 		r.Deadline = MaxTimeout
@@ -100,8 +112,8 @@
 }
 
 // serviceContracts returns the contracts of the services that a table lists. The
-// maximum wait of a rank is the longest timeout of the service's routes with that
-// rank.
+// maximum wait of a rank is the longest timeout of the service's routes whose
+// requests may have that rank: that of the route, or that of a workspace.
 func serviceContracts(c *Contract, compiled *compiledTable) []*Contract {
 	out := make([]*Contract, 0, len(c.Table.Services))
 	byName := map[mustardramp.ServiceName]*Contract{}
@@ -119,11 +131,16 @@
 		byName[s.Name] = contract
 		out = append(out, contract)
 	}
+	workspaceRanks := compiled.workspaceRanks()
 	for _, routes := range compiled.hosts {
 		for _, r := range routes {
 			for _, p := range r.Parts {
-				terms := &byName[p.Service].Ranks[r.Rank]
-				terms.Wait = max(terms.Wait, r.Deadline)
+				contract := byName[p.Service]
+				for rank := range contract.Ranks {
+					if mustardramp.Rank(rank) == r.Rank || workspaceRanks[rank] {
+						contract.Ranks[rank].Wait = max(contract.Ranks[rank].Wait, r.Deadline)
+					}
+				}
 			}
 		}
 	}
--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -124,6 +124,8 @@
 	// Parts lists the services that share the requests. It is never empty in a
 	// route of a routing table.
 	Parts []Part
+	// Anonymous is true if requests need no key of a workspace.
+	Anonymous bool
 }
 
 // IsTableRoute reports whether the route belongs to a routing table. The requests
--- a/pkg/contract/table.go
+++ b/pkg/contract/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+	"github.com/zeebo/errs"
 
 	"github.com/mustardramp/mustardramp"
 )
@@ -33,6 +34,12 @@
 	// MaxTableRoutes is the maximum number of routes. It leaves room above the
 	// 39,000 routes of docs/CAPACITY.md.
 	MaxTableRoutes = 1 << 16
+	// MaxTableWorkspaces is the maximum number of workspaces. It leaves room above
+	// the 140,000 workspaces of docs/CAPACITY.md.
+	MaxTableWorkspaces = 1 << 18
+	// MaxWorkspaceName is the maximum length of a workspace's name in bytes, because
+	// every request and log line of the workspace holds it.
+	MaxWorkspaceName = 256
 )
 
 // TableVersion is the version of a routing table. The accepted table with the
@@ -76,7 +83,10 @@
 	Version  TableVersion   `json:"table"`
 	Routes   []TableRoute   `json:"routes"`
 	Services []TableService `json:"services"`
-	Limits   TableLimits    `json:"limits"`
+	// Workspaces lists the workspaces. If there are any, requests for routes that are
+	// not anonymous must carry the key of one.
+	Workspaces []TableWorkspace `json:"workspaces"`
+	Limits     TableLimits      `json:"limits"`
 }
 
 // TableRoute is a route of a routing table.
@@ -98,6 +108,9 @@
 	Tries int `json:"tries,omitzero"`
 	// Priority is 0 or more; a lower value marks more valuable requests.
 	Priority int `json:"priority"`
+	// Anonymous allows requests without a key; nil stands for false. It is a pointer,
+	// so that a table is read back as it was written.
+	Anonymous *bool `json:"anonymous,omitzero"`
 	// Service is the only service of the route. Either Service or Split is set.
 	Service mustardramp.ServiceName `json:"service,omitempty"`
 	// Split lists the services that share the requests.
@@ -124,6 +137,23 @@
 	TLS         bool   `json:"tls,omitempty"`
 }
 
+// TableWorkspace is a workspace of a routing table. Fields that are pointers may be
+// left out, and are read back as they were written.
+type TableWorkspace struct {
+	// Name is unique in the table. It is passed on in a header.
+	Name mustardramp.WorkspaceName `json:"name"`
+	// Keys identify the requests of the workspace. No other workspace has them.
+	Keys []string `json:"keys,omitzero"`
+	// Rate is the number of requests a second over all hosts; nil and 0 set no limit.
+	Rate *float64 `json:"rate,omitzero"`
+	// Burst is the number of requests beyond Rate that may come at once; nil stands
+	// for 0.
+	Burst *int `json:"burst,omitzero"`
+	// Priority takes precedence over that of the route. It is nil if the workspace
+	// has none.
+	Priority *int `json:"priority,omitzero"`
+}
+
 // TableLimits limits what callers may send.
 type TableLimits struct {
 	// Header and Body are the maximum sizes of the headers and of the body of a
@@ -137,7 +167,8 @@
 }
 
 // Encode returns the file of the table. It is JSON, which is also YAML, with each
-// route on a line of its own, so that a refusal can refer to the line.
+// route and each workspace on a line of its own, so that refusals and faults can
+// refer to the line.
 func (t *Table) Encode() ([]byte, error) {
 	var out bytes.Buffer
 	out.WriteString(`{"table":` + strconv.FormatUint(uint64(t.Version), 10) + ",\n\"routes\":[")
@@ -152,6 +183,15 @@
 			return nil, err
 		}
 	}
+	if len(t.Workspaces) > 0 {
+		// Tables without workspaces keep the text that earlier versions wrote.
+		out.WriteString("],\n\"workspaces\":[")
+		for i := range t.Workspaces {
+			if err := encodeLine(&out, i, &t.Workspaces[i]); err != nil {
+				return nil, err
+			}
+		}
+	}
 	limits, err := json.Marshal(t.Limits)
 	if err != nil {
 		return nil, err
@@ -218,7 +258,8 @@
 		}
 		converted, err := yaml.YAMLToJSON(source)
 		if err != nil {
-			return err
+			// The text of the error would quote lines of the file, which holds keys.
+			return errs.New("%s", yaml.FormatError(err, false, false))
 		}
 		source = converted
 	}
@@ -267,6 +308,7 @@
 		}
 		routeNames[key] = r.Name
 	}
+	d.checkWorkspaces(t)
 	return d.faults
 }
 
