Authenticate requests by the keys of workspaces

Cause: an entry host did not know to which workspace a request belongs, and passed the caller's key and a made-up workspace name on to backends.

Change: if the routing table holds workspaces, a request needs a known key unless its route is anonymous (401, not run). The key is removed from headers and trailers, and so is every header that a backend could read as the workspace's name, which the host sets itself. The workspace is the caller in queues and measurements, and its rank takes precedence. Before the first byte of each attempt the key is looked up in the set then in force.

TestBytesBeforeTheRequestBreakAReusedConnection builds an attempt by hand; it now has an exchange, as every attempt has. What it checks is unchanged.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -25,6 +25,7 @@
 	errAborted              = errs.New("the operator cut the requests in flight")
 	errTooManyInformational = errs.New("more informational answers than a backend may send")
 	errWithdrawn            = errs.New("the backend takes no more requests of this host")
+	errKeyChanged           = errs.New("the key was removed before a byte left")
 )
 
 // maxInformational limits the informational (1xx) responses before the final
@@ -68,6 +69,8 @@
 	responseStarted atomic.Bool
 
 	conn *backendConn
+	// keyDenial is set if the request's key was removed before the first byte.
+	keyDenial *mustardramp.Denial
 	// reused is true if the connection has carried an earlier request.
 	reused bool
 	// startedAt is when the attempt was dispatched.
@@ -152,7 +155,7 @@
 	if a.x.h.config.Watcher == nil || length < 0 || length > maxWatchedBodyBytes {
 		return 0
 	}
-	return a.x.h.config.Watcher.Start(a.x.contract.Service, a.backend.ID, a.x.route.Rank, a.startedAt)
+	return a.x.h.config.Watcher.Start(a.x.contract.Service, a.backend.ID, a.x.rank, a.startedAt)
 }
 
 func (a *attempt) unwatch(token mustardramp.Token) {
@@ -367,6 +370,8 @@
 			Facts:      a.backendFacts("error", err.Error()),
 			RetryAfter: x.h.withJitter(defaultShedRetryAfter),
 		}
+	case errors.Is(cause, errKeyChanged):
+		return mustardramp.ResultAbandoned, a.keyDenial
 	case errors.Is(cause, errTimeout):
 		return mustardramp.ResultTimeout, &mustardramp.Denial{
 			Kind:   mustardramp.KindTimeout,
@@ -421,7 +426,7 @@
 		Backend: a.backend.ID,
 		Service: a.x.contract.Service,
 		Caller:  a.x.caller,
-		Rank:    a.x.route.Rank,
+		Rank:    a.x.rank,
 		Result:  result,
 		Latency: a.latency,
 		At:      a.x.h.config.Clock.Now(),
--- a/internal/entry/backend_conn.go
+++ b/internal/entry/backend_conn.go
@@ -42,7 +42,8 @@
 
 // bind assigns the connection to an attempt. If the connection is broken or leads
 // to an earlier incarnation of the backend, it is fenced and the attempt canceled,
-// and also if the backend takes no more requests of this host.
+// and also if the backend takes no more requests of this host or if the request's key
+// has been removed since it arrived.
 func (c *backendConn) bind(a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -54,10 +55,14 @@
 	if !c.reused {
 		c.incarnation = a.backend.Incarnation
 	}
+	a.keyDenial = a.x.findKeyChange()
 	switch {
 	case a.slot.Withdrawn():
 		c.fenced, c.broken = true, true
 		a.cancel(errWithdrawn)
+	case a.keyDenial != nil:
+		c.fenced, c.broken = true, true
+		a.cancel(errKeyChanged)
 	case c.broken || c.incarnation != a.backend.Incarnation:
 		c.fenced, c.broken = true, true
 		a.cancel(errBroken)
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -69,6 +69,9 @@
 	failed atomic.Bool
 	// done is true once the body has been read to its end.
 	done atomic.Bool
+	// onEnd is called when the body has been read to its end. The trailers of the
+	// request are then known.
+	onEnd func()
 }
 
 // Read reads from the caller, and fails if the caller stalls.
@@ -85,6 +88,7 @@
 	}
 	_ = u.controller.SetReadDeadline(time.Time{})
 	if errors.Is(err, io.EOF) {
+		u.onEnd()
 		u.done.Store(true)
 		return n, err
 	}
@@ -117,7 +121,8 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
-	stream := &uploadReader{source: x.h.inbound.Reader(x.r.Context(), x.r.Body), controller: x.responseController(), root: x.h.root, stallTimeout: x.h.config.StallTimeout}
+	stream := &uploadReader{source: x.h.inbound.Reader(x.r.Context(), x.r.Body), controller: x.responseController(), root: x.h.root, stallTimeout: x.h.config.StallTimeout, onEnd: x.removeWorkspaceTrailers}
+	x.removeWorkspaceTrailers()
 	context.AfterFunc(x.r.Context(), stream.interruptIfAborted)
 	length := x.r.ContentLength
 	if x.key == "" && (length < 0 || length > MaxReplayBytes) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,6 +108,9 @@
 	// BodyMemory limits the bytes of request bodies buffered at one time. Zero
 	// means DefaultBodyMemory.
 	BodyMemory mustardramp.Bytes
+	// Quotas admits the requests of workspaces with a quota. It may be nil; then
+	// quotas have no effect.
+	Quotas mustardramp.Quotas
 	// Headers configures the headers exchanged with callers and backends.
 	Headers Headers
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -27,6 +27,13 @@
 	contract     *contract.Contract
 	service      *Service
 	route        *contract.Route
+	// rank is that of the workspace if it has one, and that of the route otherwise.
+	rank mustardramp.Rank
+	// workspace is nil if the request has no known key. apiKey is the key.
+	workspace *contract.Workspace
+	apiKey    string
+	// hasToken is true while the request holds a token of its workspace's quota.
+	hasToken bool
 	// contractSet is the configuration in force when the request arrived.
 	contractSet *contract.Set
 	key         mustardramp.OperationKey
@@ -65,6 +72,7 @@
 var steps = [...]func(*exchange) *mustardramp.Denial{
 	(*exchange).checkStopping,
 	(*exchange).findTableRoute,
+	(*exchange).authenticate,
 	(*exchange).checkRequest,
 	(*exchange).findContract,
 	(*exchange).findRoute,
@@ -72,6 +80,7 @@
 	(*exchange).findDeadline,
 	(*exchange).checkGrace,
 	(*exchange).findKey,
+	(*exchange).takeToken,
 	(*exchange).readBody,
 }
 
@@ -95,6 +104,7 @@
 	}
 	x.route = x.contractSet.Route(normalizeHost(x.r.Host), rawPath(x.r))
 	if x.route != nil {
+		x.rank = x.route.Rank
 		x.contract = x.contractSet.Service(x.h.splitter.chooseService(x.h.config.Host, x.route))
 	}
 	return nil
@@ -166,6 +176,7 @@
 			Reason: "no route of the contract matches the method and path",
 		}
 	}
+	x.rank = x.rankOfWorkspace(x.route.Rank)
 	return nil
 }
 
@@ -224,7 +235,7 @@
 		}
 		if last == nil && x.service.Budget != nil {
 			// Only a request that got a slot adds to the retry budget.
-			x.service.Budget.CountRequest(x.route.Rank, x.h.config.Clock.Now())
+			x.service.Budget.CountRequest(x.rank, x.h.config.Clock.Now())
 		}
 		last = send(slot)
 		send = x.dispatch
@@ -272,7 +283,7 @@
 	}
 	return mustardramp.Demand{
 		Target:           target,
-		Rank:             x.route.Rank,
+		Rank:             x.rank,
 		Caller:           x.caller,
 		Deadline:         x.deadline,
 		Idempotent:       x.route.Idempotent(),
@@ -323,7 +334,7 @@
 	case last.unsent:
 		return true
 	}
-	return x.service.Budget != nil && x.service.Budget.Allow(x.route.Rank, now)
+	return x.service.Budget != nil && x.service.Budget.Allow(x.rank, now)
 }
 
 // defaultMaxAttempts limits the attempts of one request of which a byte was
@@ -344,15 +355,16 @@
 // finish releases the request's memory and records its measurements.
 func (x *exchange) finish() {
 	x.releaseBodyMemory()
+	x.returnUnusedToken()
 	if x.service != nil && x.refusalKind == mustardramp.KindUnknown {
-		x.service.typicalTimes.observe(x.route.Rank, x.h.config.Clock.Now().Sub(x.arrived))
+		x.service.typicalTimes.observe(x.rank, x.h.config.Clock.Now().Sub(x.arrived))
 	}
 	if x.h.config.Recorder == nil || x.route == nil {
 		return
 	}
 	x.h.config.Recorder.Count(RequestStats{
 		Service: x.contract.Service,
-		Rank:    x.route.Rank,
+		Rank:    x.rank,
 		Caller:  x.caller,
 		Latency: x.h.config.Clock.Now().Sub(x.arrived),
 		Wait:    x.slotWait,
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -41,7 +41,7 @@
 }
 
 // addedHeaderCount is the number of headers that the host adds to a request.
-const addedHeaderCount = 5
+const addedHeaderCount = 6
 
 // copyForwardable copies the headers that may be forwarded into target.
 func copyForwardable(target, header http.Header) {
@@ -99,6 +99,7 @@
 // common.
 func (x *exchange) commonHeader() http.Header {
 	header := forwardableHeader(x.r.Header)
+	x.replaceWorkspaceHeaders(header)
 	header["X-Forwarded-For"] = append(slices.Clip(x.r.Header["X-Forwarded-For"]), remoteAddress(x.r))
 	header["X-Forwarded-Proto"] = protoHTTP
 	if x.r.TLS != nil {
@@ -106,7 +107,7 @@
 	}
 	header[x.h.config.Headers.Timeout] = []string{x.remainingMillis()}
 	if !x.route.IsTableRoute() {
-		header[HeaderRank] = rankValues[x.route.Rank]
+		header[HeaderRank] = rankValues[x.rank]
 	}
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = emptyValue
--- a/internal/entry/grace.go
+++ b/internal/entry/grace.go
@@ -74,7 +74,7 @@
 // multiple of the typical time, at least maxClosingTime, and the time of its body on
 // the host's link.
 func (x *exchange) timeNeeded() time.Duration {
-	needed := max(typicalTimeFactor*x.service.typicalTimes.mean(x.route.Rank), maxClosingTime)
+	needed := max(typicalTimeFactor*x.service.typicalTimes.mean(x.rank), maxClosingTime)
 	if rate := x.h.config.LinkRate; rate > 0 && x.r.ContentLength > 0 {
 		needed += time.Duration(float64(x.r.ContentLength) / float64(rate) * float64(time.Second))
 	}
--- a/internal/entry/header_names.go
+++ b/internal/entry/header_names.go
@@ -29,6 +29,12 @@
 	// ResponseStamp names a header that each successful response of a backend must
 	// have. Empty means that none is required.
 	ResponseStamp string
+	// Workspace names the header that tells a backend the workspace of a request.
+	// Empty means X-Workspace.
+	Workspace string
+	// KeyScheme is the scheme with which callers state the key of their workspace in
+	// the Authorization header. Empty means Bearer.
+	KeyScheme string
 	// RequireRequestID requires responses to repeat the id of the request.
 	RequireRequestID bool
 	// FractionalRetryAfter makes Retry-After include fractions of a second.
@@ -39,6 +45,12 @@
 	if h.Timeout == "" {
 		h.Timeout = HeaderTimeout
 	}
+	if h.Workspace == "" {
+		h.Workspace = "X-Workspace"
+	}
+	if h.KeyScheme == "" {
+		h.KeyScheme = "Bearer"
+	}
 	return h
 }
 
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -89,7 +89,7 @@
 			p.markFinished(run)
 			if run.isGood() {
 				p.discardOther(run)
-				p.policy.Learn(p.x.route.Rank, p.x.h.config.Clock.Now().Sub(started))
+				p.policy.Learn(p.x.rank, p.x.h.config.Clock.Now().Sub(started))
 				return run.finish()
 			}
 			p.keepFailure(run)
@@ -117,7 +117,7 @@
 // hedgeTimer returns a channel that receives when the hedge is due, and a
 // function that stops the timer. The channel is nil if there is no hedge.
 func (p *attemptPair) hedgeTimer() (<-chan time.Time, func()) {
-	delay, ok := p.policy.Delay(p.x.route.Rank, true)
+	delay, ok := p.policy.Delay(p.x.rank, true)
 	if !ok {
 		return nil, func() {}
 	}
@@ -128,7 +128,7 @@
 // launchHedge starts the second run if the retry budget allows it.
 func (p *attemptPair) launchHedge() {
 	x := p.x
-	if !p.policy.Start(x.route.Rank, x.slotWait > maxHedgeWait, x.h.config.Clock.Now()) {
+	if !p.policy.Start(x.rank, x.slotWait > maxHedgeWait, x.h.config.Clock.Now()) {
 		return
 	}
 	demand := x.newDemand()
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -67,7 +67,7 @@
 		Attempts: len(x.tried),
 	}
 	if x.route != nil {
-		r.Rank = x.route.Rank
+		r.Rank = x.rank
 		r.Idempotent = x.route.Idempotent()
 	}
 	if len(x.tried) > 0 {
@@ -101,7 +101,7 @@
 	}
 	switch kind {
 	case mustardramp.KindQueueFull, mustardramp.KindCallerShare, mustardramp.KindPressure:
-		if line := x.contract.Ranks[x.route.Rank].Line; line > 0 {
+		if line := x.contract.Ranks[x.rank].Line; line > 0 {
 			return x.contract.Rule(line)
 		}
 	case mustardramp.KindShed:
@@ -151,7 +151,7 @@
 		if notRun {
 			return http.StatusServiceUnavailable
 		}
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusConflict:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized, http.StatusMisdirectedRequest, http.StatusConflict:
 		if !notRun {
 			return http.StatusBadGateway
 		}
@@ -171,6 +171,9 @@
 	if r.RetryAfter > 0 {
 		header.Set("Retry-After", x.h.config.Headers.formatRetryAfter(r.RetryAfter))
 	}
+	if r.Kind == mustardramp.KindUnauthorized {
+		header.Set("Www-Authenticate", x.h.config.Headers.KeyScheme)
+	}
 	if r.Kind == mustardramp.KindStopping {
 		header.Set("Connection", "close")
 	}
--- a/internal/entry/repeated_refusal_test.go
+++ b/internal/entry/repeated_refusal_test.go
@@ -155,7 +155,7 @@
 			defer near.Close()
 			defer far.Close()
 			c := &backendConn{Conn: near, mayHaveSent: tc.reused}
-			c.bind(&attempt{cancel: func(error) {}, slot: &fakeSlot{pool: &fakePool{}}})
+			c.bind(&attempt{x: &exchange{}, cancel: func(error) {}, slot: &fakeSlot{pool: &fakePool{}}})
 			c.mayHaveSent = tc.sent
 			var group errgroup.Group
 			group.Go(func() error {
