Enforce quotas of workspaces over all hosts

Cause: a workspace's requests enter at any host, so no host alone can hold them to its quota (docs/design/hard-load.md, part 3).

Change: internal/quota lends tokens of a workspace from one keeper, the host with the votes of a majority of the entry hosts. Entry hosts create the pool; it makes no call until a request of a workspace with a limit arrives.

--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -17,6 +17,7 @@
 	"github.com/mustardramp/mustardramp/internal/ledger"
 	"github.com/mustardramp/mustardramp/internal/link"
 	"github.com/mustardramp/mustardramp/internal/membership"
+	"github.com/mustardramp/mustardramp/internal/quota"
 	"github.com/mustardramp/mustardramp/internal/registry"
 	"github.com/mustardramp/mustardramp/pkg/announce"
 	"github.com/mustardramp/mustardramp/pkg/contract"
@@ -36,6 +37,12 @@
 	e.network.New = func(address netip.AddrPort) *link.Client {
 		return &link.Client{Address: address, TLS: e.tlsConfigs.linkClient}
 	}
+	e.quotas = quota.New(quota.Config{
+		Self:  quota.Candidate{Host: config.Name, Incarnation: e.incarnation},
+		Peers: &quota.Network{Link: e.network.Invoker},
+		Clock: e.clock,
+		Index: e.contracts.Index,
+	})
 	e.contracts.Remote = &registry.Remote{Hosts: config.controlLinks(e.tlsConfigs.linkClient)}
 	e.contracts.Changed = e.services.apply
 	e.ejector = ejection.New(config.Name, e.incarnation, config.Place)
@@ -78,6 +85,7 @@
 		}
 		return nil
 	})
+	quota.Serve(&e.server.Router, e.quotas)
 	link.Handle(&e.server.Router, methodState, func(context.Context, struct{}) (hostState, error) {
 		return hostState{Index: e.contracts.Index(), Ready: e.ready.Load()}, nil
 	})
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -14,6 +14,7 @@
 	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/ledger"
 	"github.com/mustardramp/mustardramp/internal/link"
+	"github.com/mustardramp/mustardramp/internal/quota"
 	"github.com/mustardramp/mustardramp/internal/refusal"
 	"github.com/mustardramp/mustardramp/internal/roster"
 	"github.com/mustardramp/mustardramp/internal/tally"
@@ -74,6 +75,7 @@
 	ledger    *ledger.Client
 	links     links
 	network   lease.Network
+	quotas    *quota.Pool
 	server    link.Server
 	exchange  *exchange.Exchange
 	handler   *entry.Handler
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -9,6 +9,7 @@
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/lease"
 	"github.com/mustardramp/mustardramp/internal/membership"
+	"github.com/mustardramp/mustardramp/internal/quota"
 	"github.com/mustardramp/mustardramp/internal/registry"
 )
 
@@ -27,6 +28,7 @@
 	group.Go(func() error { return every(inner, stepInterval, e.step) })
 	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
 	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
+	group.Go(func() error { return every(inner, quota.StepInterval, e.quotas.Step) })
 	if e.announceListener != nil {
 		group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcementHandler()) })
 	}
@@ -40,6 +42,7 @@
 		return e.stop(ctx, inner, abort)
 	})
 	err := group.Wait()
+	e.quotas.Close()
 	e.links.close()
 	// Closing fails for connections that peers closed when they stopped first.
 	_ = e.network.Close()
@@ -64,6 +67,7 @@
 		// it leaves.
 		e.services.sendHandovers(inner)
 		e.exchange.Drain()
+		e.quotas.Stop()
 		return nil
 	})
 	err := e.traffic.Stop(abort)
@@ -110,7 +114,9 @@
 	}
 	members := e.exchange.Members()
 	e.links.set(members)
-	e.services.setHosts(e.liveEntryHosts(members))
+	live := e.liveEntryHosts(members)
+	e.services.setHosts(live)
+	e.quotas.SetHosts(namesOf(live), e.electorate(members))
 	now := e.clock.Now()
 	if err := e.roster.Expire(now, e.ejector.LastWork); err != nil {
 		klog.ErrorS(err, "lease-expiry-failed")
@@ -133,6 +139,26 @@
 	return hosts
 }
 
+// electorate returns this host and the other entry hosts that are members of the fleet,
+// lost ones included. A host that states that it leaves no longer counts.
+func (e *Entry) electorate(members []membership.Member) []mustardramp.HostName {
+	names := []mustardramp.HostName{e.config.Name}
+	for _, m := range members {
+		if m.Host.Role == membership.Entry && !m.Host.Leaving {
+			names = append(names, m.Host.Name)
+		}
+	}
+	return names
+}
+
+func namesOf(hosts []lease.Host) []mustardramp.HostName {
+	names := make([]mustardramp.HostName, len(hosts))
+	for i, h := range hosts {
+		names[i] = h.Name
+	}
+	return names
+}
+
 // reportEvidence spreads this host's evidence on backends when it is due.
 func (e *Entry) reportEvidence() {
 	record, due, err := e.ejector.Due(e.clock.Now())
--- a/internal/lease/network.go
+++ b/internal/lease/network.go
@@ -140,6 +140,12 @@
 	return err
 }
 
+// Invoker returns the connection to a host, for calls of other packages. Each call must
+// set its own timeout.
+func (n *Network) Invoker(host mustardramp.HostName) (link.Invoker, error) {
+	return n.clientFor(host)
+}
+
 // CloseOthers closes the connections to hosts that are not listed.
 func (n *Network) CloseOthers(hosts []Host) {
 	listed := make(map[mustardramp.HostName]bool, len(hosts))
--- /dev/null
+++ b/internal/quota/keeper.go
@@ -0,0 +1,256 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+const (
+	// renewAge is the age from which a vote is asked for again. With a step every
+	// second it is renewed every 2 s, 1 s before it ends. If that fails, the next ask
+	// starts a campaign, which costs the request one round trip.
+	renewAge = 1500 * time.Millisecond
+	// idleAfter is the time without requests after which a keeper renews no votes.
+	idleAfter = 5 * time.Second
+	// forgetAfter is the time without requests after which a keeper forgets a bucket.
+	forgetAfter = time.Minute
+	// minCampaignPause and maxCampaignPause bound the time between two campaigns for one
+	// workspace, of which the first failed.
+	minCampaignPause = 200 * time.Millisecond
+	maxCampaignPause = time.Second
+	// voterBackoff is how long a host that did not answer is asked after the others.
+	voterBackoff = 5 * time.Second
+	// askersPeriod is the time in which the hosts that asked are counted.
+	askersPeriod = time.Second
+	// minSilence and maxSilence bound the time for which a host refuses by itself.
+	minSilence = 10 * time.Millisecond
+	maxSilence = time.Second
+)
+
+// electorate is the hosts whose votes decide on keepers. It includes hosts that are
+// lost: a minority that is cut off must not take itself for the whole fleet.
+type electorate struct {
+	// hosts is sorted by name.
+	hosts []mustardramp.HostName
+}
+
+// newElectorate returns the electorate of the hosts, in any order.
+func newElectorate(hosts []mustardramp.HostName) *electorate {
+	hosts = slices.Clone(hosts)
+	slices.Sort(hosts)
+	return &electorate{hosts: slices.Compact(hosts)}
+}
+
+// weight returns the weight of a host's vote. The first host weighs more, so that of
+// two halves of the fleet one has a majority.
+func (e *electorate) weight(host mustardramp.HostName) int {
+	i, ok := slices.BinarySearch(e.hosts, host)
+	switch {
+	case !ok:
+		return 0
+	case i == 0:
+		return 3
+	default:
+		return 2
+	}
+}
+
+// majority returns the least weight that more than half of the votes have.
+func (e *electorate) majority() int {
+	return len(e.hosts) + 1
+}
+
+// keeper is the state of one workspace at a host that keeps it, or tries to.
+type keeper struct {
+	bucket bucket
+	// number counts the campaigns. Votes of an earlier one no longer count: they may
+	// have been released.
+	number uint64
+	// votes maps each voter to the time until which its vote lasts.
+	votes map[mustardramp.HostName]time.Time
+	// until is the time until which a majority of the votes lasts.
+	until time.Time
+	// failedAt is when a voter last did not answer.
+	failedAt map[mustardramp.HostName]time.Time
+	// holder is the host that voters last named as the keeper, and pausedUntil the time
+	// until which no other campaign is begun.
+	holder      mustardramp.HostName
+	pausedUntil time.Time
+	// remaining is the shortest time after which a voter may change its vote.
+	remaining time.Duration
+	// limit is the level that the bucket may have after the campaign, by the votes.
+	limit float64
+	// known is true once the bucket has been in use.
+	known   bool
+	usedAt  time.Time
+	askers  map[mustardramp.HostName]bool
+	counted time.Time
+	// askerCount is the number of hosts that asked in the last period.
+	askerCount int
+}
+
+// isKeeping reports whether this host may lend tokens.
+func (k *keeper) isKeeping(now time.Time) bool {
+	return now.Before(k.until)
+}
+
+// begin starts a campaign.
+func (k *keeper) begin() {
+	k.number++
+	k.votes, k.until, k.limit = nil, time.Time{}, math.Inf(1)
+	k.holder, k.remaining = "", maxCampaignPause
+}
+
+// fail ends a campaign without a majority. The draw from 0 to 1 spreads the next
+// campaigns of hosts that shared the votes. It returns the release of the votes.
+func (k *keeper) fail(now time.Time, draw float64) Ballot {
+	pause := max(minCampaignPause, min(k.remaining, maxCampaignPause))
+	k.pausedUntil = now.Add(time.Duration(float64(pause) * (0.75 + draw/2)))
+	k.votes, k.until = nil, time.Time{}
+	return Ballot{Release: true, Unused: !k.known, Number: k.number}
+}
+
+// targets returns the hosts to ask for votes now, in the order given: enough for a
+// majority and a tenth of the fleet more, or all if everyone is set.
+func (k *keeper) targets(now time.Time, e *electorate, order []mustardramp.HostName, everyone bool) []mustardramp.HostName {
+	order = slices.Clone(order)
+	slices.SortStableFunc(order, func(a, b mustardramp.HostName) int {
+		return cmp.Compare(k.reluctance(now, a), k.reluctance(now, b))
+	})
+	goal := e.majority() + len(e.hosts)/5 + 2
+	sum := 0
+	var out []mustardramp.HostName
+	for _, host := range order {
+		if sum >= goal && !everyone {
+			break
+		}
+		sum += e.weight(host)
+		if until, ok := k.votes[host]; !ok || until.Sub(now) <= VoteTerm-renewAge {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
+// reluctance orders the voters: those that voted already, others, and last those that
+// did not answer.
+func (k *keeper) reluctance(now time.Time, host mustardramp.HostName) int {
+	if at, ok := k.failedAt[host]; ok && now.Sub(at) < voterBackoff {
+		return 2
+	}
+	if now.Before(k.votes[host]) {
+		return 0
+	}
+	return 1
+}
+
+// recordVote applies the answer of a voter that was asked at a time.
+func (k *keeper) recordVote(askedAt, now time.Time, e *electorate, host mustardramp.HostName, v Vote) {
+	delete(k.failedAt, host)
+	if !v.Granted {
+		if v.Holder != "" {
+			k.holder = v.Holder
+		}
+		if v.Remaining > 0 {
+			k.remaining = min(k.remaining, v.Remaining)
+		}
+		if k.votes[host].Before(now) {
+			delete(k.votes, host)
+		}
+		return
+	}
+	if k.votes == nil {
+		k.votes = map[mustardramp.HostName]time.Time{}
+	}
+	k.votes[host] = askedAt.Add(VoteTerm)
+	if v.HasEarlier {
+		k.limit = min(k.limit, float64(v.Level)+k.bucket.quota.Rate*v.Age.Seconds())
+	}
+	k.count(e)
+}
+
+// recordFailure records that a voter did not answer.
+func (k *keeper) recordFailure(now time.Time, host mustardramp.HostName) {
+	if k.failedAt == nil {
+		k.failedAt = map[mustardramp.HostName]time.Time{}
+	}
+	k.failedAt[host] = now
+}
+
+// count finds the time until which a majority of the votes lasts.
+func (k *keeper) count(e *electorate) {
+	type vote struct {
+		until  time.Time
+		weight int
+	}
+	votes := make([]vote, 0, len(k.votes))
+	for host, until := range k.votes {
+		votes = append(votes, vote{until, e.weight(host)})
+	}
+	slices.SortFunc(votes, func(a, b vote) int { return b.until.Compare(a.until) })
+	k.until = time.Time{}
+	sum := 0
+	for _, v := range votes {
+		if sum += v.weight; sum >= e.majority() {
+			k.until = v.until
+			return
+		}
+	}
+}
+
+// open sets the level of the bucket after a campaign has won: what the bucket held, if
+// this host kept the workspace before, and no more than the voters' memories of other
+// keepers allow.
+func (k *keeper) open(now time.Time) {
+	if !k.known {
+		k.bucket.level, k.bucket.filledAt = capacity(k.bucket.quota), now
+		k.bucket.binStart = now
+	}
+	k.bucket.refill(now)
+	k.bucket.level = min(k.bucket.level, k.limit)
+	k.known = true
+}
+
+// lend answers an ask of a host.
+func (k *keeper) lend(now time.Time, a *Ask) Answer {
+	k.countAsker(now, a.Host)
+	k.bucket.giveBack(now, a.Unused)
+	granted := k.bucket.take(now, a.Want)
+	answer := Answer{Kept: true, Granted: granted}
+	if granted < a.Want {
+		answer.RetryIn = k.silence()
+	}
+	return answer
+}
+
+// countAsker counts the hosts that ask.
+func (k *keeper) countAsker(now time.Time, host mustardramp.HostName) {
+	k.usedAt = now
+	if now.Sub(k.counted) >= askersPeriod {
+		k.askerCount, k.askers, k.counted = len(k.askers), map[mustardramp.HostName]bool{}, now
+	}
+	k.askers[host] = true
+}
+
+// silence returns the time for which a host that was denied refuses by itself: until
+// its turn among the hosts that ask comes, but no longer than it takes to fill half of
+// the bucket, so that no tokens are lost while all are silent.
+func (k *keeper) silence() time.Duration {
+	rate := k.bucket.quota.Rate
+	if rate <= 0 {
+		return maxSilence
+	}
+	turn := float64(max(k.askerCount, len(k.askers), 1)) / rate
+	filled := capacity(k.bucket.quota) / 2 / rate
+	d := time.Duration(min(turn, filled) * float64(time.Second))
+	return max(minSilence, min(max(d, k.bucket.untilToken()), maxSilence))
+}
+
+// isForgettable reports whether the state holds nothing that a later campaign needs.
+func (k *keeper) isForgettable(now time.Time) bool {
+	return !k.isKeeping(now) && now.Sub(k.usedAt) > forgetAfter
+}
--- /dev/null
+++ b/internal/quota/network.go
@@ -0,0 +1,62 @@
+package quota
+
+import (
+	"context"
+
+	"github.com/zeebo/errs"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/link"
+)
+
+// Methods of the calls between hosts.
+const (
+	methodAsk  = "quota.ask"
+	methodVote = "quota.vote"
+)
+
+// maxRate is the highest rate of a quota, far beyond what a fleet serves.
+const maxRate = 1e9
+
+// ErrAsk is the class of errors of malformed calls of other hosts.
+var ErrAsk = errs.Class("quota ask")
+
+// Serve registers the handlers for the calls of other hosts.
+func Serve(router *link.Router, p *Pool) {
+	link.Handle(router, methodAsk, func(ctx context.Context, ask Ask) (Answer, error) {
+		if ask.Want < 0 || ask.Want > maxBatch || ask.Unused < 0 || !(ask.Rate > 0) || ask.Rate > maxRate || ask.Burst < 0 {
+			return Answer{}, ErrAsk.New("workspace %q: want %d, unused %d, rate %g, burst %d", ask.Workspace, ask.Want, ask.Unused, ask.Rate, ask.Burst)
+		}
+		return p.Answer(ctx, ask), nil
+	})
+	link.Handle(router, methodVote, func(_ context.Context, ballot Ballot) (Vote, error) {
+		return p.Vote(ballot), nil
+	})
+}
+
+// Network implements Peers by calls over links.
+type Network struct {
+	// Link returns the link to a host.
+	Link func(mustardramp.HostName) (link.Invoker, error)
+}
+
+var _ Peers = (*Network)(nil)
+
+// Ask implements Peers.
+func (n *Network) Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Answer, error) {
+	return call[Answer](ctx, n, host, methodAsk, ask)
+}
+
+// Vote implements Peers.
+func (n *Network) Vote(ctx context.Context, host mustardramp.HostName, ballot Ballot) (Vote, error) {
+	return call[Vote](ctx, n, host, methodVote, ballot)
+}
+
+func call[Resp, Req any](ctx context.Context, n *Network, host mustardramp.HostName, method string, req Req) (Resp, error) {
+	peer, err := n.Link(host)
+	if err != nil {
+		var none Resp
+		return none, err
+	}
+	return link.Call[Resp](ctx, peer, method, req)
+}
--- /dev/null
+++ b/internal/quota/pool.go
@@ -0,0 +1,657 @@
+package quota
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/mustardramp/mustardramp"
+)
+
+const (
+	// StepInterval is the interval at which Step must be called.
+	StepInterval = time.Second
+	// askTimeout is the timeout of one ask. It exceeds campaignTimeout, since the first
+	// ask for a workspace waits for the votes.
+	askTimeout = 800 * time.Millisecond
+	// campaignTimeout is the time for each of the two rounds of a campaign.
+	campaignTimeout = 300 * time.Millisecond
+	// keepersAsked is the number of hosts in rendezvous order that are asked in turn.
+	keepersAsked = 3
+	// logInterval is the least time between two log lines on the refusals of a workspace.
+	logInterval = time.Second
+	// holderRetention is the time without requests after which a host forgets the
+	// counters of a workspace.
+	holderRetention = time.Hour
+	// minRetryAfter is the least time after which refused callers are told to return.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// Config configures a Pool. Without Peers the host is a fleet of its own.
+type Config struct {
+	Self  Candidate
+	Peers Peers
+	// Clock defaults to mustardramp.SystemClock.
+	Clock mustardramp.Clock
+	// Index returns the log index of the routing table in force; nil means 0.
+	Index func() mustardramp.Index
+	// Draw returns random numbers from 0 to 1 and may be called concurrently; nil means
+	// rand.Float64.
+	Draw func() float64
+}
+
+// Pool admits the requests of workspaces together with the pools on the other hosts. It
+// implements mustardramp.Quotas.
+type Pool struct {
+	config Config
+	fleet  atomic.Pointer[fleet]
+	// holders maps a workspace to its *holderState, and keepers to its *keeperState.
+	holders sync.Map
+	keepers sync.Map
+	// down maps a host that did not answer to the time until which it is not asked.
+	down sync.Map
+	// calls are the goroutines that call other hosts.
+	calls errgroup.Group
+	// stopping is set once this host keeps no more workspaces.
+	stopping atomic.Bool
+
+	// mu guards voter.
+	mu    sync.Mutex
+	voter voter
+}
+
+var _ mustardramp.Quotas = (*Pool)(nil)
+
+// holderState is a holder with the requests that wait for the keeper.
+type holderState struct {
+	name mustardramp.WorkspaceName
+
+	mu sync.Mutex
+	holder
+	// waiting holds the requests in their order; each channel has room for the outcome.
+	waiting []chan bool
+	// asking is true while a goroutine asks keepers.
+	asking bool
+	// lost is true while no keeper can be reached.
+	lost bool
+	// loggedAt is the time of the last log line on refusals, and unlogged counts those
+	// since.
+	loggedAt time.Time
+	unlogged int
+}
+
+// keeperState is a keeper with its campaign.
+type keeperState struct {
+	name mustardramp.WorkspaceName
+
+	mu sync.Mutex
+	keeper
+	// campaign is closed when the campaign in progress ends; nil if there is none.
+	campaign chan struct{}
+	// forgotten is set once the state is no longer in the pool's map.
+	forgotten bool
+}
+
+// New returns a pool of a fleet that consists of this host. SetHosts sets others.
+func New(config Config) *Pool {
+	if config.Clock == nil {
+		config.Clock = mustardramp.SystemClock{}
+	}
+	if config.Index == nil {
+		config.Index = func() mustardramp.Index { return 0 }
+	}
+	if config.Draw == nil {
+		config.Draw = rand.Float64
+	}
+	p := &Pool{config: config}
+	p.voter.startedAt = config.Clock.Now()
+	self := []mustardramp.HostName{config.Self.Host}
+	p.fleet.Store(newFleet(self, self))
+	return p
+}
+
+// SetHosts replaces the live entry hosts and those that are known: the live ones, and
+// the lost ones that have not stated that they leave. Both include this host. One
+// goroutine at a time may call it.
+func (p *Pool) SetHosts(live, known []mustardramp.HostName) {
+	if p.fleet.Load().isOf(live, known) {
+		return
+	}
+	next := newFleet(live, known)
+	p.fleet.Store(next)
+	p.keepers.Range(func(_, value any) bool {
+		k := value.(*keeperState)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.count(next.electorate)
+		return true
+	})
+}
+
+// Take implements mustardramp.Quotas.
+func (p *Pool) Take(ctx context.Context, w mustardramp.WorkspaceName, q mustardramp.Quota) *mustardramp.Denial {
+	if !q.IsLimited() {
+		return nil
+	}
+	h := p.holder(w)
+	h.mu.Lock()
+	now := p.config.Clock.Now()
+	h.quota = q
+	h.demand.add(now)
+	if decision := p.arrive(h, now); decision != mustWait {
+		denial := p.finish(h, now, decision == admitted)
+		h.mu.Unlock()
+		return denial
+	}
+	result := make(chan bool, 1)
+	h.waiting = append(h.waiting, result)
+	start := !h.asking
+	h.asking = true
+	h.mu.Unlock()
+	if start {
+		p.calls.Go(func() error {
+			p.askWhileWaiting(h)
+			return nil
+		})
+	}
+	isAdmitted, ended := false, false
+	select {
+	case isAdmitted = <-result:
+	case <-ctx.Done():
+		ended = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ended {
+		h.abandon(result)
+	}
+	return p.finish(h, p.config.Clock.Now(), isAdmitted)
+}
+
+// arrive decides on a request; the caller holds h.mu.
+func (p *Pool) arrive(h *holderState, now time.Time) outcome {
+	return h.holder.arrive(now, len(p.fleet.Load().electorate.hosts), p.config.Draw())
+}
+
+// abandon removes a request whose context has ended. If it was admitted meanwhile, its
+// token is given back.
+func (h *holderState) abandon(result chan bool) {
+	if i := slices.Index(h.waiting, result); i >= 0 {
+		h.waiting = slices.Delete(h.waiting, i, i+1)
+		return
+	}
+	if <-result {
+		h.unused++
+	}
+}
+
+// finish counts the outcome of a request and returns its denial; the caller holds h.mu.
+func (p *Pool) finish(h *holderState, now time.Time, isAdmitted bool) *mustardramp.Denial {
+	if isAdmitted {
+		h.admitted++
+		return nil
+	}
+	h.refused++
+	h.unlogged++
+	if now.Sub(h.loggedAt) >= logInterval {
+		klog.InfoS("quota-exceeded", "workspace", h.name, "rate", h.quota.Rate, "burst", h.quota.Burst,
+			"keeper", h.keeper, "refused", h.unlogged)
+		h.loggedAt, h.unlogged = now, 0
+	}
+	wait := max(minRetryAfter, h.retryAfter(now))
+	return &mustardramp.Denial{
+		Kind:   mustardramp.KindQuota,
+		Reason: "The workspace has used up its quota.",
+		Facts: []mustardramp.Fact{
+			{Name: "workspace", Value: string(h.name)},
+			{Name: "rate", Value: strconv.FormatFloat(h.quota.Rate, 'g', -1, 64)},
+			{Name: "burst", Value: strconv.Itoa(h.quota.Burst)},
+		},
+		// The spread keeps refused callers from returning at the same time.
+		RetryAfter: wait + time.Duration(p.config.Draw()*float64(wait)/2),
+	}
+}
+
+// Return implements mustardramp.Quotas.
+func (p *Pool) Return(w mustardramp.WorkspaceName) {
+	value, ok := p.holders.Load(w)
+	if !ok {
+		return
+	}
+	h := value.(*holderState)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unused++
+	h.admitted--
+}
+
+// askWhileWaiting asks keepers until no request waits. All requests that wait at the
+// same time share one ask.
+func (p *Pool) askWhileWaiting(h *holderState) {
+	for {
+		h.mu.Lock()
+		if len(h.waiting) == 0 {
+			h.asking = false
+			h.mu.Unlock()
+			return
+		}
+		askedAt := p.config.Clock.Now()
+		ask := p.newAsk(h, askedAt, len(h.waiting))
+		h.mu.Unlock()
+
+		answer, keeper := p.askKeepers(h.name, ask)
+
+		h.mu.Lock()
+		now := p.config.Clock.Now()
+		if keeper == "" {
+			p.fallBack(h, now)
+		} else {
+			h.lost = false
+			h.admit(h.receive(askedAt, now, keeper, answer, len(h.waiting)))
+			if answer.RetryIn > 0 {
+				h.refuseAll()
+			}
+		}
+		h.mu.Unlock()
+	}
+}
+
+// newAsk returns an ask for waiting requests and what they foreshadow; the caller holds
+// h.mu.
+func (p *Pool) newAsk(h *holderState, now time.Time, waiting int) Ask {
+	ask := Ask{
+		Workspace: h.name, Host: p.config.Self.Host, Want: h.want(now, waiting), Unused: h.unused,
+		Rate: h.quota.Rate, Burst: h.quota.Burst, Version: p.config.Index(),
+	}
+	h.unused = 0
+	return ask
+}
+
+// fallBack decides on the waiting requests without a keeper; the caller holds h.mu.
+func (p *Pool) fallBack(h *holderState, now time.Time) {
+	if !h.lost {
+		klog.InfoS("quota-keeper-lost", "workspace", h.name, "keeper", h.keeper, "share", fallbackShare)
+	}
+	h.lost = true
+	h.lose(now)
+	for range len(h.waiting) {
+		if p.arrive(h, now) == admitted {
+			h.admit(1)
+		}
+	}
+	h.refuseAll()
+}
+
+// admit admits the first n waiting requests.
+func (h *holderState) admit(n int) {
+	for _, result := range h.waiting[:n] {
+		result <- true
+	}
+	h.waiting = h.waiting[n:]
+}
+
+// refuseAll refuses the waiting requests.
+func (h *holderState) refuseAll() {
+	for _, result := range h.waiting {
+		result <- false
+	}
+	h.waiting = nil
+}
+
+// askKeepers asks the keeper that is known, or the first hosts in rendezvous order, and
+// those that they name. The returned keeper is empty if none of them keeps the
+// workspace.
+func (p *Pool) askKeepers(w mustardramp.WorkspaceName, ask Ask) (Answer, mustardramp.HostName) {
+	var tried []mustardramp.HostName
+	next := p.candidates(w)
+	for len(next) > 0 && len(tried) <= keepersAsked {
+		host := next[0]
+		next = next[1:]
+		if slices.Contains(tried, host) || p.isDown(host) {
+			continue
+		}
+		tried = append(tried, host)
+		answer, err := p.askOne(host, ask)
+		switch {
+		case err != nil:
+			p.down.Store(host, p.config.Clock.Now().Add(keeperBackoff))
+		case answer.Kept:
+			return answer, host
+		case answer.Keeper != "":
+			next = append([]mustardramp.HostName{answer.Keeper}, next...)
+		}
+	}
+	return Answer{}, ""
+}
+
+// candidates returns the hosts that may keep a workspace, the likeliest first.
+func (p *Pool) candidates(w mustardramp.WorkspaceName) []mustardramp.HostName {
+	order := p.fleet.Load().order(w)
+	order = order[:min(keepersAsked, len(order))]
+	h := p.holder(w)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.keeper == "" {
+		return order
+	}
+	return append([]mustardramp.HostName{h.keeper}, order...)
+}
+
+func (p *Pool) isDown(host mustardramp.HostName) bool {
+	until, ok := p.down.Load(host)
+	return ok && p.config.Clock.Now().Before(until.(time.Time))
+}
+
+// askOne asks one host, which may be this one.
+func (p *Pool) askOne(host mustardramp.HostName, ask Ask) (Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	if host == p.config.Self.Host {
+		return p.Answer(ctx, ask), nil
+	}
+	return p.config.Peers.Ask(ctx, host, ask)
+}
+
+// Answer answers an ask as the keeper of the workspace. If this host does not keep it,
+// it first tries to win the votes.
+func (p *Pool) Answer(ctx context.Context, ask Ask) Answer {
+	if p.stopping.Load() {
+		return Answer{}
+	}
+	k := p.lockKeeper(ask.Workspace)
+	defer k.mu.Unlock()
+	now := p.config.Clock.Now()
+	k.bucket.configure(now, mustardramp.Quota{Rate: ask.Rate, Burst: ask.Burst}, ask.Version)
+	if !k.isKeeping(now) {
+		if ask.Want == 0 || k.campaign == nil && now.Before(k.pausedUntil) {
+			return Answer{Keeper: k.otherHolder(p.config.Self.Host)}
+		}
+		p.awaitCampaign(ctx, k)
+		if now = p.config.Clock.Now(); !k.isKeeping(now) {
+			return Answer{Keeper: k.otherHolder(p.config.Self.Host)}
+		}
+	}
+	return k.lend(now, &ask)
+}
+
+// otherHolder returns the keeper that the voters named, unless it is this host.
+func (k *keeperState) otherHolder(self mustardramp.HostName) mustardramp.HostName {
+	if k.holder == self {
+		return ""
+	}
+	return k.holder
+}
+
+// awaitCampaign starts a campaign unless one is in progress, and waits for its end
+// without k.mu, which the caller holds.
+func (p *Pool) awaitCampaign(ctx context.Context, k *keeperState) {
+	if k.campaign == nil {
+		k.campaign = make(chan struct{})
+		k.begin()
+		p.calls.Go(func() error {
+			p.runCampaign(k)
+			return nil
+		})
+	}
+	done := k.campaign
+	k.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	k.mu.Lock()
+}
+
+// runCampaign asks for the votes of a majority, first of a few hosts more than
+// necessary and then of all.
+func (p *Pool) runCampaign(k *keeperState) {
+	fleet := p.fleet.Load()
+	order := p.voters(fleet, k.name)
+	var asked []mustardramp.HostName
+	won := false
+	for _, everyone := range []bool{false, true} {
+		k.mu.Lock()
+		targets := k.targets(p.config.Clock.Now(), fleet.electorate, order, everyone)
+		k.mu.Unlock()
+		asked = append(asked, targets...)
+		if won = p.collect(k, targets); won {
+			break
+		}
+	}
+	k.mu.Lock()
+	now := p.config.Clock.Now()
+	var release Ballot
+	if won = k.isKeeping(now); won {
+		k.open(now)
+		klog.InfoS("quota-keeper-began", "workspace", k.name, "hosts", len(fleet.electorate.hosts), "level", int(k.bucket.level))
+	} else {
+		release = k.fail(now, p.config.Draw())
+	}
+	close(k.campaign)
+	k.campaign = nil
+	k.mu.Unlock()
+	if !won {
+		p.release(&p.calls, k.name, release, asked)
+	}
+}
+
+// voters returns this host and the other live hosts in rendezvous order.
+func (p *Pool) voters(f *fleet, w mustardramp.WorkspaceName) []mustardramp.HostName {
+	order := f.order(w)
+	if i := slices.Index(order, p.config.Self.Host); i > 0 {
+		order = slices.Insert(slices.Delete(order, i, i+1), 0, p.config.Self.Host)
+	}
+	return order
+}
+
+// collect asks hosts for their votes until a majority is reached, all have answered or
+// the time is over. It reports whether this host keeps the workspace.
+func (p *Pool) collect(k *keeperState, targets []mustardramp.HostName) bool {
+	answered := p.askVotes(k, targets)
+	timer := time.NewTimer(campaignTimeout)
+	defer timer.Stop()
+	for range targets {
+		select {
+		case <-answered:
+		case <-timer.C:
+			return false
+		}
+		k.mu.Lock()
+		won := k.isKeeping(p.config.Clock.Now())
+		k.mu.Unlock()
+		if won {
+			return true
+		}
+	}
+	return false
+}
+
+// askVotes asks hosts for their votes in the background. The channel gets a value for
+// each host that has answered or failed.
+func (p *Pool) askVotes(k *keeperState, targets []mustardramp.HostName) <-chan struct{} {
+	k.mu.Lock()
+	number := k.number
+	k.mu.Unlock()
+	answered := make(chan struct{}, len(targets))
+	for _, host := range targets {
+		p.calls.Go(func() error {
+			askedAt := p.config.Clock.Now()
+			vote, err := p.askVote(host, Ballot{Workspace: k.name, Candidate: p.config.Self, Number: number})
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			now := p.config.Clock.Now()
+			switch {
+			case err != nil:
+				k.recordFailure(now, host)
+			case k.number == number:
+				k.recordVote(askedAt, now, p.fleet.Load().electorate, host, vote)
+			}
+			answered <- struct{}{}
+			return nil
+		})
+	}
+	return answered
+}
+
+// askVote sends a ballot to one host, which may be this one.
+func (p *Pool) askVote(host mustardramp.HostName, ballot Ballot) (Vote, error) {
+	if host == p.config.Self.Host {
+		return p.Vote(ballot), nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	return p.config.Peers.Vote(ctx, host, ballot)
+}
+
+// release gives votes back in the background. Votes that are not given back expire.
+func (p *Pool) release(group *errgroup.Group, w mustardramp.WorkspaceName, ballot Ballot, hosts []mustardramp.HostName) {
+	ballot.Workspace, ballot.Candidate = w, p.config.Self
+	for _, host := range hosts {
+		group.Go(func() error {
+			_, _ = p.askVote(host, ballot)
+			return nil
+		})
+	}
+}
+
+// Vote answers the ballot of a host.
+func (p *Pool) Vote(ballot Ballot) Vote {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.voter.vote(p.config.Clock.Now(), ballot)
+}
+
+// Step renews the votes for the workspaces that are in use, gives back expired tokens
+// and forgets what is no longer used. One goroutine must call it every StepInterval.
+func (p *Pool) Step() {
+	now := p.config.Clock.Now()
+	p.mu.Lock()
+	p.voter.prune(now)
+	p.mu.Unlock()
+	p.keepers.Range(func(name, value any) bool {
+		p.stepKeeper(now, name, value.(*keeperState))
+		return true
+	})
+	p.holders.Range(func(name, value any) bool {
+		p.stepHolder(now, name, value.(*holderState))
+		return true
+	})
+}
+
+func (p *Pool) stepKeeper(now time.Time, name any, k *keeperState) {
+	k.mu.Lock()
+	var targets []mustardramp.HostName
+	if k.isKeeping(now) && now.Sub(k.usedAt) < idleAfter {
+		fleet := p.fleet.Load()
+		targets = k.targets(now, fleet.electorate, p.voters(fleet, k.name), false)
+	} else if k.campaign == nil && k.isForgettable(now) {
+		k.forgotten = true
+		p.keepers.Delete(name)
+	}
+	k.mu.Unlock()
+	p.askVotes(k, targets)
+}
+
+func (p *Pool) stepHolder(now time.Time, name any, h *holderState) {
+	h.mu.Lock()
+	h.expire(now)
+	if now.Sub(h.usedAt) > holderRetention && !h.asking {
+		p.holders.Delete(name)
+	}
+	keeper := h.keeper
+	if h.unused == 0 || h.asking || keeper == "" {
+		h.mu.Unlock()
+		return
+	}
+	ask := p.newAsk(h, now, 0)
+	h.mu.Unlock()
+	p.calls.Go(func() error {
+		_, _ = p.askOne(keeper, ask)
+		return nil
+	})
+}
+
+// Stop releases the votes of this host, so that other hosts keep its workspaces at once
+// and know what its buckets held.
+func (p *Pool) Stop() {
+	p.stopping.Store(true)
+	var group errgroup.Group
+	p.keepers.Range(func(_, value any) bool {
+		k := value.(*keeperState)
+		k.mu.Lock()
+		now := p.config.Clock.Now()
+		if !k.isKeeping(now) {
+			k.mu.Unlock()
+			return true
+		}
+		k.bucket.refill(now)
+		ballot := Ballot{Release: true, Level: float32(k.bucket.level), Number: k.number}
+		var hosts []mustardramp.HostName
+		for host := range k.votes {
+			hosts = append(hosts, host)
+		}
+		k.begin()
+		k.mu.Unlock()
+		p.release(&group, k.name, ballot, hosts)
+		return true
+	})
+	_ = group.Wait()
+}
+
+// Close waits until the calls to other hosts have ended. No request may be taken any
+// more.
+func (p *Pool) Close() {
+	_ = p.calls.Wait()
+}
+
+// Usage lists the workspaces with a limit that this host admitted or refused requests
+// of, by name.
+func (p *Pool) Usage() []Usage {
+	now := p.config.Clock.Now()
+	var out []Usage
+	p.holders.Range(func(_, value any) bool {
+		h := value.(*holderState)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		u := Usage{Name: h.name, Quota: h.quota, Admitted: h.admitted, Refused: h.refused, Keeper: h.keeper}
+		if h.keeper != "" {
+			u.Age = now.Sub(h.heardAt)
+		}
+		out = append(out, u)
+		return true
+	})
+	slices.SortFunc(out, func(a, b Usage) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (p *Pool) holder(w mustardramp.WorkspaceName) *holderState {
+	if h, ok := p.holders.Load(w); ok {
+		return h.(*holderState)
+	}
+	h, _ := p.holders.LoadOrStore(w, &holderState{name: w})
+	return h.(*holderState)
+}
+
+// lockKeeper returns the state of a workspace with its lock held.
+func (p *Pool) lockKeeper(w mustardramp.WorkspaceName) *keeperState {
+	for {
+		value, ok := p.keepers.Load(w)
+		if !ok {
+			value, _ = p.keepers.LoadOrStore(w, &keeperState{name: w})
+		}
+		k := value.(*keeperState)
+		k.mu.Lock()
+		if !k.forgotten {
+			return k
+		}
+		k.mu.Unlock()
+	}
+}
