Lend tokens for expected requests only from a bucket that is half full

Cause: near the limit, tokens that one host holds for expected requests are missing for the requests of another.

Change: an ask states the waiting and the expected requests apart.

Test: TestCalmWithinQuota.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -24,8 +24,6 @@
 	demandPeriod = time.Second
 	// batchPeriod is the time for which a host with much demand asks in advance.
 	batchPeriod = 200 * time.Millisecond
-	// maxBatch bounds the tokens of one ask.
-	maxBatch = 1000
 	// keeperBackoff is how long a keeper that did not answer is not asked.
 	keeperBackoff = time.Second
 	// fallbackPause is how long a host that reached no keeper asks none.
@@ -61,7 +59,7 @@
 	return float64(d.before)*(1-part) + float64(d.count)
 }
 
-// ahead returns the tokens to ask for beyond the waiting requests. Two standard
+// ahead returns the tokens to ask for beside those for waiting requests. Two standard
 // deviations less than the mean of batchPeriod rarely remain unused; below 20 requests
 // a second it is none.
 func (d *demand) ahead(now time.Time) int {
@@ -138,15 +136,6 @@
 	}
 }
 
-// want returns the number of tokens to ask for while requests wait.
-func (h *holder) want(now time.Time, waiting int) int {
-	h.expire(now)
-	if waiting == 0 {
-		return 0
-	}
-	return min(maxBatch, waiting+h.demand.ahead(now))
-}
-
 // receive applies the answer of a keeper that was asked at a time. It returns how many
 // of the waiting requests are admitted; the other tokens remain for later requests.
 // Tokens that arrive after their lifetime are given back.
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -220,13 +220,23 @@
 	k.countAsker(now, a.Host)
 	k.bucket.giveBack(now, a.Unused)
 	granted := k.bucket.take(now, a.Want)
-	answer := Answer{Kept: true, Granted: granted}
+	answer := Answer{Kept: true}
 	if granted < a.Want {
 		answer.RetryIn = k.silence()
+	} else {
+		granted += k.bucket.take(now, min(a.Ahead, k.spare()))
 	}
+	answer.Granted = granted
 	return answer
 }
 
+// spare returns the tokens that may be lent for expected requests: those beyond half of
+// the capacity. Near the limit a token that lies unused at one host is a refusal at
+// another.
+func (k *keeper) spare() int {
+	return max(0, int(k.bucket.level-capacity(k.bucket.quota)/2))
+}
+
 // countAsker counts the hosts that ask.
 func (k *keeper) countAsker(now time.Time, host mustardramp.HostName) {
 	k.usedAt = now
--- a/internal/quota/network.go
+++ b/internal/quota/network.go
@@ -24,8 +24,8 @@
 // Serve registers the handlers for the calls of other hosts.
 func Serve(router *link.Router, p *Pool) {
 	link.Handle(router, methodAsk, func(ctx context.Context, ask Ask) (Answer, error) {
-		if ask.Want < 0 || ask.Want > maxBatch || ask.Unused < 0 || !(ask.Rate > 0) || ask.Rate > maxRate || ask.Burst < 0 {
-			return Answer{}, ErrAsk.New("workspace %q: want %d, unused %d, rate %g, burst %d", ask.Workspace, ask.Want, ask.Unused, ask.Rate, ask.Burst)
+		if ask.Want < 0 || ask.Ahead < 0 || ask.Unused < 0 || !(ask.Rate > 0) || ask.Rate > maxRate || ask.Burst < 0 {
+			return Answer{}, ErrAsk.New("workspace %q: want %d, ahead %d, unused %d, rate %g, burst %d", ask.Workspace, ask.Want, ask.Ahead, ask.Unused, ask.Rate, ask.Burst)
 		}
 		return p.Answer(ctx, ask), nil
 	})
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -267,10 +267,14 @@
 // newAsk returns an ask for waiting requests and what they foreshadow; the caller holds
 // h.mu.
 func (p *Pool) newAsk(h *holderState, now time.Time, waiting int) Ask {
+	h.expire(now)
 	ask := Ask{
-		Workspace: h.name, Host: p.config.Self.Host, Want: h.want(now, waiting), Unused: h.unused,
+		Workspace: h.name, Host: p.config.Self.Host, Want: waiting, Unused: h.unused,
 		Rate: h.quota.Rate, Burst: h.quota.Burst, Version: p.config.Index(),
 	}
+	if waiting > 0 {
+		ask.Ahead = h.demand.ahead(now)
+	}
 	h.unused = 0
 	return ask
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -17,9 +17,11 @@
 type Ask struct {
 	Workspace mustardramp.WorkspaceName `json:"workspace" cbor:"1,keyasint"`
 	Host      mustardramp.HostName      `json:"host" cbor:"2,keyasint"`
-	// Want is the number of tokens, and Unused how many of those lent before no request
-	// used. Both are 0 or more.
+	// Want is the number of requests that wait, and Ahead the number of tokens for those
+	// that are expected soon. Unused is how many of the tokens lent before no request
+	// used. All are 0 or more.
 	Want   int `json:"want" cbor:"3,keyasint,omitempty"`
+	Ahead  int `json:"ahead" cbor:"8,keyasint,omitempty"`
 	Unused int `json:"unused" cbor:"4,keyasint,omitempty"`
 	// Rate and Burst are the quota in force at the host that asks, and Version is the
 	// log index of its routing table.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -48,3 +48,34 @@
 		}
 	}
 }
+
+// TestCalmWithinQuota sends requests that an ideal bucket of the quota allows, in
+// bursts, to skewed hosts. It guards against refusals that only the division of the
+// tokens among hosts causes: unused batches, silence, or a keeper that starts empty.
+func TestCalmWithinQuota(t *testing.T) {
+	for _, hosts := range []int{99, 300} {
+		for name, q := range map[string]mustardramp.Quota{
+			"small": {Rate: 2, Burst: 4}, "medium": {Rate: 20, Burst: 30}, "large": {Rate: 200, Burst: 100}, "no burst": {Rate: 100},
+		} {
+			t.Run(fmt.Sprintf("%d/%s", hosts, name), func(t *testing.T) {
+				var s *sim
+				inBubble(t, hosts, 2, q, func(running *sim) {
+					s = running
+					// The ideal bucket has no slack, and room for one request at least.
+					exact := mustardramp.Quota{Rate: q.Rate, Burst: max(q.Burst, 1) - slack}
+					ideal := &bucket{quota: exact, level: capacity(exact), filledAt: time.Now()}
+					pick := s.zipf()
+					for range 3 {
+						s.run(8*time.Second, 2*q.Rate, pick, ideal, nil)
+						s.run(7*time.Second, 0, pick, ideal, nil)
+						s.run(8*time.Second, q.Rate, func() *node { return s.nodes[3] }, ideal, nil)
+					}
+				})
+				t.Logf("admitted %d, refused %d", len(s.used), s.refused)
+				if s.refused > 0 || len(s.used) == 0 {
+					t.Errorf("got %d of %d requests inside the quota refused, want none", s.refused, s.refused+len(s.used))
+				}
+			})
+		}
+	}
+}
