--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -61,6 +61,7 @@
 		Incarnation:  e.incarnation,
 		Contracts:    e.currentContracts,
 		Services:     &e.services,
+		Quotas:       e.quotas,
 		Ledger:       e.ledger,
 		Observer:     e.ejector,
 		Watcher:      e.ejector,
