Limit what callers outside the limits make a host hold

Cause: net/http reads each request head into a map whose entries take 79 to 99 bytes a line, before any code of this project sees it, up to a constant limit of 64 KiB and 10 s a connection and on any number of connections. The limits of the routing table were not applied at all.

Change: a listener in front of net/http's server (internal/callerconn) counts the bytes and lines of each head as they arrive. It refuses heads over the routing table's limit with 431, heads for which the account has no room with 503 and Retry-After, and bounds the empty lines before a request. Reads end at the end of a head or body, so that each head is counted from its first byte. The account is shared by all connections of the host and also carries buffered bodies and the pieces of responses that callers read slowly; its bound is a quarter of the host's memory. Connections are bounded by the descriptors and the account; unfinished heads older than a second are closed first, then the connections idle longest, never a request in service. The decisions are in internal/callerlimit. All HTTP servers of entry and control hosts use it. The table's header, header time and idle limits apply by table version to connections in plain text, its body limit to all requests of its routes (413).

--- /dev/null
+++ b/internal/callerconn/guard.go
@@ -0,0 +1,276 @@
+// Package callerconn limits what the connections of callers make a host hold before
+// and while their requests are served. Its listener counts the bytes and lines of each
+// request head before net/http builds its map of headers.
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/callerlimit"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeadBytes mustardramp.Bytes = 64 << 10
+	DefaultHeadTime                    = 10 * time.Second
+	DefaultIdleTime                    = 2 * time.Minute
+	// DefaultEmptyLines is the number of empty lines before a request. RFC 9112,
+	// section 2.2, asks to accept one, and some clients send one after each body.
+	DefaultEmptyLines = 8
+)
+
+// Cause is the reason for which a connection was refused or closed.
+type Cause int
+
+// The causes.
+const (
+	// HeadTooLarge means that a head exceeds Limits.HeadBytes.
+	HeadTooLarge Cause = iota
+	// NoRoom means that the account had no room for a head.
+	NoRoom
+	// EmptyLines means that more than the allowed empty lines preceded a head.
+	EmptyLines
+	// HeadTimeout means that a head was not complete after Limits.HeadTime.
+	HeadTimeout
+	// Replaced means that a waiting connection was closed for a new one.
+	Replaced
+	// NoConnection means that a new connection was closed because no other could be.
+	NoConnection
+	// CauseCount is the number of causes.
+	CauseCount
+)
+
+var causeNames = [CauseCount]string{"head-too-large", "no-room", "empty-lines", "head-timeout", "replaced", "no-connection"}
+
+// String returns the name of the cause in logs and counters.
+func (c Cause) String() string {
+	return causeNames[c]
+}
+
+// Config configures a Guard. The zero value limits nothing but the size of heads and
+// the empty lines before them.
+type Config struct {
+	// Account may be shared with other guards and may be nil.
+	Account *callerlimit.Account
+	// Limits returns the limits in force; fields that are 0 have the defaults above.
+	// It is called often and must not take a lock. It may be nil.
+	Limits func() callerlimit.Limits
+	// MaxConnections is the maximum number of connections, or 0 for no limit.
+	MaxConnections int
+	// EmptyLines is the maximum number of empty lines before a request; 0 stands for
+	// DefaultEmptyLines.
+	EmptyLines int
+	// Encrypted is true if the connections carry TLS. Then only their number is
+	// limited, and heads are left to the limits of the http.Server.
+	Encrypted bool
+}
+
+// Guard applies the limits to the connections of one server.
+type Guard struct {
+	// Name identifies the server in log lines.
+	Name string
+
+	config Config
+	counts [CauseCount]atomic.Int64
+	// lastCaller is the address of the caller that was limited last.
+	lastCaller atomic.Pointer[string]
+	// reported holds the counts at the last log line. Only Report uses it.
+	reported [CauseCount]int64
+
+	mu sync.Mutex
+	// conns holds the open connections. A connection that is being closed for a new
+	// one is no longer in it.
+	conns map[*Conn]struct{}
+}
+
+// New returns a guard with a name for log lines.
+func New(name string, config Config) *Guard {
+	if config.EmptyLines <= 0 {
+		config.EmptyLines = DefaultEmptyLines
+	}
+	return &Guard{Name: name, config: config, conns: map[*Conn]struct{}{}}
+}
+
+// limits returns the limits in force with the defaults filled in.
+func (g *Guard) limits() callerlimit.Limits {
+	var l callerlimit.Limits
+	if g.config.Limits != nil {
+		l = g.config.Limits()
+	}
+	if l.HeadBytes <= 0 {
+		l.HeadBytes = DefaultHeadBytes
+	}
+	if l.HeadTime <= 0 {
+		l.HeadTime = DefaultHeadTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = DefaultIdleTime
+	}
+	return l
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// Attach lets the guard follow the requests of a server whose connections come from
+// Listener. The server must have its handler.
+func (g *Guard) Attach(server *http.Server) {
+	if !g.config.Encrypted {
+		server.MaxHeaderBytes = maxHeadBytes
+	}
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, unwrap(conn))
+	}
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c := unwrap(conn); c != nil {
+			c.follow(state)
+		}
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, _ := r.Context().Value(connKey{}).(*Conn); c != nil {
+			c.beginBody(r.ContentLength)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// unwrap returns the connection of the guard below a connection, or nil.
+func unwrap(conn net.Conn) *Conn {
+	for conn != nil {
+		if c, ok := conn.(*Conn); ok {
+			return c
+		}
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = outer.NetConn()
+	}
+	return nil
+}
+
+// Listener returns a listener whose connections are limited.
+func (g *Guard) Listener(inner net.Listener) net.Listener {
+	return &listener{Listener: inner, guard: g}
+}
+
+type listener struct {
+	net.Listener
+	guard *Guard
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.guard.admit(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// admit returns the connection with its limits, or nil if there is no room for it. A
+// connection that waits is closed for it if there is one.
+func (g *Guard) admit(inner net.Conn) *Conn {
+	now := time.Now()
+	c := &Conn{Conn: inner, guard: g, since: now}
+	account := g.config.Account
+	hasRoom := account.Reserve(callerlimit.ConnectionCost, callerlimit.ConnectionCost)
+	victim, ok := g.add(c, hasRoom, now)
+	switch {
+	case !ok:
+		if hasRoom {
+			account.Release(callerlimit.ConnectionCost)
+		}
+		g.count(NoConnection, inner)
+		return nil
+	case victim != nil:
+		// The victim's own reservation ends when its goroutine does.
+		_ = victim.Conn.Close()
+		g.count(Replaced, victim.Conn)
+	}
+	if !hasRoom {
+		account.Hold(callerlimit.ConnectionCost)
+	}
+	return c
+}
+
+// add adds a connection and returns the one to close for it, or nil if there is room.
+// It returns false if there is none to close.
+func (g *Guard) add(c *Conn, hasRoom bool, now time.Time) (victim *Conn, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if hasRoom && (g.config.MaxConnections <= 0 || len(g.conns) < g.config.MaxConnections) {
+		g.conns[c] = struct{}{}
+		return nil, true
+	}
+	var longest callerlimit.Waiting
+	for other := range g.conns {
+		w, isWaiting := other.waiting()
+		if isWaiting && w.MayClose(now) && (victim == nil || w.CloseBefore(longest)) {
+			victim, longest = other, w
+		}
+	}
+	if victim == nil || !victim.evict() {
+		return nil, false
+	}
+	delete(g.conns, victim)
+	g.conns[c] = struct{}{}
+	return victim, true
+}
+
+// remove removes a connection that was closed.
+func (g *Guard) remove(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+}
+
+// count counts a connection that was refused or closed.
+func (g *Guard) count(cause Cause, conn net.Conn) {
+	g.counts[cause].Add(1)
+	address := conn.RemoteAddr().String()
+	g.lastCaller.Store(&address)
+}
+
+// Counts returns how many connections were refused or closed since the start, by
+// cause.
+func (g *Guard) Counts() [CauseCount]int64 {
+	var out [CauseCount]int64
+	for cause := range g.counts {
+		out[cause] = g.counts[cause].Load()
+	}
+	return out
+}
+
+// Report logs one line if connections were refused or closed since the last call. It
+// must not be called concurrently.
+func (g *Guard) Report() {
+	counts := g.Counts()
+	if counts == g.reported {
+		return
+	}
+	fields := []any{"server", g.Name}
+	for cause, n := range counts {
+		fields = append(fields, Cause(cause).String(), n-g.reported[cause])
+	}
+	g.reported = counts
+	g.mu.Lock()
+	connections := len(g.conns)
+	g.mu.Unlock()
+	fields = append(fields, "connections", connections, "held", g.config.Account.Used(), "last-caller", *g.lastCaller.Load())
+	klog.InfoS("callers-limited", fields...)
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -117,6 +117,9 @@
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
+	if limit := x.bodyLimit(); limit > 0 && x.r.ContentLength < 0 {
+		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, int64(limit))
+	}
 	stream := &uploadReader{source: x.h.inbound.Reader(x.r.Context(), x.r.Body), controller: x.responseController(), root: x.h.root, stallTimeout: x.h.config.StallTimeout}
 	context.AfterFunc(x.r.Context(), stream.interruptIfAborted)
 	length := x.r.ContentLength
@@ -166,6 +169,10 @@
 		x.h.heldBodyBytes.Add(-length)
 		return false
 	}
+	if !x.h.config.Account.Reserve(mustardramp.Bytes(length), mustardramp.Bytes(length)) {
+		x.h.heldBodyBytes.Add(-length)
+		return false
+	}
 	x.body.reservedBytes = length
 	return true
 }
@@ -194,6 +201,7 @@
 // releaseBodyMemory releases the memory reserved for the body.
 func (x *exchange) releaseBodyMemory() {
 	x.h.heldBodyBytes.Add(-x.body.reservedBytes)
+	x.h.config.Account.Release(mustardramp.Bytes(x.body.reservedBytes))
 	x.body.reservedBytes = 0
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/callerlimit"
 	"github.com/mustardramp/mustardramp/internal/pacing"
 	"github.com/mustardramp/mustardramp/internal/refusal"
 	"github.com/mustardramp/mustardramp/internal/retry"
@@ -108,6 +109,9 @@
 	// BodyMemory limits the bytes of request bodies buffered at one time. Zero
 	// means DefaultBodyMemory.
 	BodyMemory mustardramp.Bytes
+	// Account counts what the host holds for callers, and may be nil. Bodies are only
+	// buffered, and new requests only accepted, while it has room.
+	Account *callerlimit.Account
 	// Headers configures the headers exchanged with callers and backends.
 	Headers Headers
 }
@@ -189,6 +193,12 @@
 	return int(h.inFlight.Load())
 }
 
+// CallerLimits returns the limits of the routing table in force, or zero limits.
+func (h *Handler) CallerLimits() callerlimit.Limits {
+	l := h.config.Contracts().Limits()
+	return callerlimit.Limits{HeadBytes: l.Header, HeadTime: time.Duration(l.HeaderTime), IdleTime: time.Duration(l.Idle)}
+}
+
 // ServeHTTP handles one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -109,11 +109,33 @@
 func (x *exchange) checkRequest() *mustardramp.Denial {
 	if x.route != nil {
 		// Routes of the routing table forward the path unchanged.
-		return nil
+		return x.checkBodySize()
 	}
 	return checkUnambiguous(x.r)
 }
 
+// bodyLimit returns the limit of the routing table for the request's body, or 0.
+func (x *exchange) bodyLimit() mustardramp.Bytes {
+	if !x.route.IsTableRoute() {
+		return 0
+	}
+	return x.contractSet.Limits().Body
+}
+
+// checkBodySize refuses a body whose stated length exceeds the limit of the routing
+// table.
+func (x *exchange) checkBodySize() *mustardramp.Denial {
+	limit := x.bodyLimit()
+	if limit <= 0 || mustardramp.Bytes(x.r.ContentLength) <= limit {
+		return nil
+	}
+	return &mustardramp.Denial{
+		Kind:   mustardramp.KindBodyTooLarge,
+		Reason: "the body is longer than the routing table allows",
+		Facts:  []mustardramp.Fact{{Name: "limit", Value: strconv.FormatInt(int64(limit), 10)}},
+	}
+}
+
 func (x *exchange) findContract() *mustardramp.Denial {
 	if x.route != nil {
 		return nil
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -93,6 +93,9 @@
 // response is known to be complete before the caller gets a byte of it. A
 // longer one is forwarded piece by piece.
 func (a *attempt) relayBody(response *http.Response) *outcome {
+	// The buffer is held as long as the caller takes to read the response.
+	a.x.h.config.Account.Hold(bufferSize)
+	defer a.x.h.config.Account.Release(bufferSize)
 	buf := a.x.h.buffers.Get().(*[]byte)
 	defer a.x.h.buffers.Put(buf)
 	b := &bodyReader{a: a, response: response, digest: a.responseDigestCheck(response)}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,10 +10,13 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/mustardramp/mustardramp/internal/callerconn"
 )
 
-// Limits on caller connections. No limit applies to a request as a whole: an
-// upload may take hours as long as it makes progress.
+// Limits on caller connections that carry TLS; those of the others are in
+// internal/callerconn. No limit applies to a request as a whole: an upload may take
+// hours as long as it makes progress.
 const (
 	readHeaderTimeout = 10 * time.Second
 	callerIdleTimeout = 2 * time.Minute
@@ -40,6 +43,9 @@
 	Grace time.Duration
 	// TLS may be nil; then callers connect in plain text.
 	TLS *tls.Config
+	// Guard limits the connections of callers. NewServer sets one that applies the
+	// limits of the routing table in force.
+	Guard *callerconn.Guard
 
 	server http.Server
 	// ready is true from the start of Serve until Stop is called or Serve ends.
@@ -58,11 +64,14 @@
 		BaseContext:       func(net.Listener) context.Context { return handler.root },
 		ErrorLog:          klog.NewStandardLogger("WARNING"),
 	}
+	s.Guard = callerconn.New("callers", callerconn.Config{Limits: handler.CallerLimits, Encrypted: config != nil})
 	return s
 }
 
 // Serve accepts connections until Stop is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
+	s.Guard.Attach(&s.server)
+	listener = s.Guard.Listener(listener)
 	s.ready.Store(true)
 	var err error
 	if s.TLS != nil {
--- a/internal/entry/table_test.go
+++ b/internal/entry/table_test.go
@@ -232,3 +232,30 @@
 		})
 	}
 }
+
+// TestTableLimitsApply guards against a routing table whose limits for callers are not
+// in force, and against a refused body that was sent to a backend.
+func TestTableLimitsApply(t *testing.T) {
+	var ran atomic.Int64
+	f := newTableFixture(t, startBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			ran.Add(1)
+		}
+		writeStamped(w, r, http.StatusOK, "whole")
+	}))
+	table := contract.Table{
+		Version:  2,
+		Routes:   []contract.TableRoute{{Name: "acts", Host: "mohor.example", Prefix: "/acts/", Kind: contract.Unsafe, Service: "mohor"}},
+		Services: []contract.TableService{{Name: "mohor"}},
+		Limits:   contract.TableLimits{Header: 512, Body: 10, HeaderTime: contract.Span(time.Second), Idle: contract.Span(time.Minute)},
+	}
+	set := contract.NewSet(1, []*contract.Contract{parseTable(t, table)})
+	f.handler.config.Contracts = func() *contract.Set { return set }
+	if got := f.handler.CallerLimits(); got.HeadBytes != 512 || got.HeadTime != time.Second || got.IdleTime != time.Minute {
+		t.Errorf("got %+v, want the limits of the table", got)
+	}
+	f.wantRefusal(t, f.send(t, "POST", "/acts/a", "eleven byte"), mustardramp.KindBodyTooLarge, mustardramp.VerdictNotRun())
+	if got := f.send(t, "POST", "/acts/a", "ten bytes!"); got.StatusCode != http.StatusOK || ran.Load() != 1 {
+		t.Errorf("got status %d and %d runs, want 200 and one run", got.StatusCode, ran.Load())
+	}
+}
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -64,8 +64,10 @@
 		CallerHeader: config.CallerHeader,
 		Headers:      config.Headers,
 		LinkRate:     config.LinkRate,
+		Account:      &e.guards.account,
 	})
 	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.tlsConfigs.traffic)
+	e.traffic.Guard = e.guards.newMain("callers", e.handler.CallerLimits, e.tlsConfigs.traffic != nil)
 	e.traffic.Grace = config.Grace
 	e.handlePeerCalls()
 }
--- a/internal/host/common.go
+++ b/internal/host/common.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/callerconn"
 	"github.com/mustardramp/mustardramp/internal/keys"
 	"github.com/mustardramp/mustardramp/internal/link"
 	"github.com/mustardramp/mustardramp/internal/membership"
@@ -49,6 +50,18 @@
 	AdminTLS Files
 	// Memory is the memory that the process may use, or 0 if it has no limit.
 	Memory mustardramp.Bytes
+	// CallerMemory is the bound of what the host holds for callers, or 0 for a share
+	// of Memory.
+	CallerMemory mustardramp.Bytes
+	// CallerConnections is the maximum number of connections of callers, or 0 for a
+	// share of the descriptors.
+	CallerConnections int
+	// EmptyLines is the maximum number of empty lines before a request, or 0 for
+	// callerconn.DefaultEmptyLines.
+	EmptyLines int
+	// Descriptors is the number of descriptors that the process may open, if it is
+	// above 0 and below the limit that the operating system sets.
+	Descriptors int
 	// Clock defaults to the machine's clock.
 	Clock mustardramp.Clock
 }
@@ -171,8 +184,10 @@
 
 // serveHTTP serves until the context ends and then shuts down gracefully. A nil
 // config means plain HTTP.
-func serveHTTP(ctx context.Context, listener net.Listener, config *tls.Config, handler http.Handler) error {
+func serveHTTP(ctx context.Context, listener net.Listener, config *tls.Config, handler http.Handler, guard *callerconn.Guard) error {
 	server := &http.Server{Handler: handler, TLSConfig: config, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	guard.Attach(server)
+	listener = guard.Listener(listener)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-ctx.Done()
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -60,6 +60,7 @@
 	groups  []*group
 	ledgers []*ledger.Server
 	orders  orderBudget
+	guards  guards
 	// drained is closed when an operator drains the host.
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -85,6 +86,7 @@
 		orders:      newOrderBudget(config.Memory),
 	}
 	config.limitMemory()
+	c.guards.init(&config.Common)
 	var err error
 	if c.tlsConfigs, err = config.loadTLS(Files{}); err != nil {
 		return nil, err
@@ -266,7 +268,9 @@
 	for _, s := range c.extraServers {
 		group.Go(func() error { return s.serve(ctx) })
 	}
-	group.Go(func() error { return serveHTTP(ctx, c.adminListener, c.tlsConfigs.admin, c.adminHandler()) })
+	admin := c.guards.newSide("administration", c.tlsConfigs.admin != nil)
+	group.Go(func() error { return serveHTTP(ctx, c.adminListener, c.tlsConfigs.admin, c.adminHandler(), admin) })
+	group.Go(func() error { return every(ctx, guardReportInterval, c.guards.report) })
 	group.Go(func() error {
 		defer cancel()
 		select {
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -78,6 +78,7 @@
 	exchange  *exchange.Exchange
 	handler   *entry.Handler
 	traffic   *entry.Server
+	guards    guards
 	// ready is set once the host knows a current configuration and stays set.
 	ready atomic.Bool
 	// drained is closed when an operator drains the host.
@@ -99,6 +100,7 @@
 		drained:     make(chan struct{}),
 	}
 	config.limitMemory()
+	e.guards.init(&config.Common)
 	var err error
 	if e.tlsConfigs, err = config.loadTLS(config.TLS); err != nil {
 		return nil, err
--- a/internal/host/extraserver.go
+++ b/internal/host/extraserver.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+
+	"github.com/mustardramp/mustardramp/internal/callerconn"
 )
 
 // extraServer serves an HTTP handler at an address of its own, such as an
@@ -12,24 +14,25 @@
 type extraServer struct {
 	listener net.Listener
 	handler  http.Handler
+	guard    *callerconn.Guard
 }
 
-func newExtraServer(address netip.AddrPort, handler http.Handler) (*extraServer, error) {
+func newExtraServer(address netip.AddrPort, handler http.Handler, guard *callerconn.Guard) (*extraServer, error) {
 	l, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
-	return &extraServer{listener: l, handler: handler}, nil
+	return &extraServer{listener: l, handler: handler, guard: guard}, nil
 }
 
 func (s *extraServer) serve(ctx context.Context) error {
-	return serveHTTP(ctx, s.listener, nil, s.handler)
+	return serveHTTP(ctx, s.listener, nil, s.handler, s.guard)
 }
 
 // ServeAt listens at a further address, where Run serves the handler. It must be
 // called before Run.
 func (e *Entry) ServeAt(address netip.AddrPort, handler http.Handler) error {
-	s, err := newExtraServer(address, handler)
+	s, err := newExtraServer(address, handler, e.guards.newSide("readiness", false))
 	if err == nil {
 		e.extraServers = append(e.extraServers, s)
 	}
@@ -56,7 +59,7 @@
 // ServeAt listens at a further address, where Run serves the handler. It must be
 // called before Run.
 func (c *Control) ServeAt(address netip.AddrPort, handler http.Handler) error {
-	s, err := newExtraServer(address, handler)
+	s, err := newExtraServer(address, handler, c.guards.newMain("calls", nil, false))
 	if err == nil {
 		c.extraServers = append(c.extraServers, s)
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -28,9 +28,12 @@
 	group.Go(func() error { return every(inner, lease.PressureInterval, e.reportPressure) })
 	group.Go(func() error { return every(inner, lease.StepInterval, func() { e.services.step(inner) }) })
 	if e.announceListener != nil {
-		group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcementHandler()) })
+		announcements := e.guards.newSide("announcements", false)
+		group.Go(func() error { return serveHTTP(inner, e.announceListener, nil, e.announcementHandler(), announcements) })
 	}
-	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.tlsConfigs.admin, e.adminHandler()) })
+	admin := e.guards.newSide("administration", e.tlsConfigs.admin != nil)
+	group.Go(func() error { return serveHTTP(inner, e.adminListener, e.tlsConfigs.admin, e.adminHandler(), admin) })
+	group.Go(func() error { return every(inner, guardReportInterval, e.guards.report) })
 	for _, s := range e.extraServers {
 		group.Go(func() error { return s.serve(inner) })
 	}
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -230,6 +230,11 @@
 			}
 		}
 	}
+	for _, h := range v.guards.counters() {
+		if strings.HasPrefix(h.Name, prefix) {
+			out = append(out, h)
+		}
+	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
--- a/pkg/contract/compiled_table.go
+++ b/pkg/contract/compiled_table.go
@@ -29,6 +29,7 @@
 // compiledTable finds the routes of a routing table. It is immutable.
 type compiledTable struct {
 	version TableVersion
+	limits  TableLimits
 	// hosts maps a host in lower case to its routes, longest prefix first.
 	hosts map[string][]*Route
 }
@@ -46,7 +47,7 @@
 // compileTable returns the compiled table and a contract for each of its services.
 func compileTable(c *Contract) (*compiledTable, []*Contract) {
 	t := c.Table
-	compiled := &compiledTable{version: t.Version, hosts: map[string][]*Route{}}
+	compiled := &compiledTable{version: t.Version, limits: t.Limits, hosts: map[string][]*Route{}}
 	ranks := ranksByPriority(t.Routes)
 	for i := range t.Routes {
 		r := compileRoute(&t.Routes[i], ranks)
--- a/pkg/contract/set.go
+++ b/pkg/contract/set.go
@@ -85,3 +85,12 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
 	return out
 }
+
+// Limits returns the limits of the routing table in force, or zero limits if there is
+// none.
+func (s *Set) Limits() TableLimits {
+	if s == nil || s.table == nil {
+		return TableLimits{}
+	}
+	return s.table.limits
+}
