Refuse unknown keys with 503 at hosts without control hosts

Cause: an entry host that has lost the control hosts keeps its last routing table and answered 401 for a key that was added since.

A host that is not current answers 503 in place of 401.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -80,6 +80,10 @@
 	// Contracts returns the contracts in force, or nil until the host has
 	// received them. It must not take a lock.
 	Contracts func() *contract.Set
+	// IsCurrent reports whether the contracts are known to be the newest. Otherwise a
+	// key that is not among them may belong to a workspace all the same. It must not
+	// take a lock. It may be nil; then they always are.
+	IsCurrent func() bool
 	Services  Services
 	// Ledger may be nil; then requests for routes with an operation key are
 	// refused.
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -32,6 +32,13 @@
 	if x.route != nil && x.route.Anonymous {
 		return nil
 	}
+	if x.h.config.IsCurrent != nil && !x.h.config.IsCurrent() {
+		return &mustardramp.Denial{
+			Kind:       mustardramp.KindNoContract,
+			Reason:     "the host has no contact with the control hosts, and cannot know whether the request needs a key and which keys are new",
+			RetryAfter: time.Second,
+		}
+	}
 	return &mustardramp.Denial{Kind: mustardramp.KindUnauthorized, Reason: reason}
 }
 
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -230,6 +230,23 @@
 	}
 }
 
+// TestDisconnectedHostDoesNotJudgeUnknownKeys guards against a 401 for a key that was
+// added while the host had no contact with the control hosts.
+func TestDisconnectedHostDoesNotJudgeUnknownKeys(t *testing.T) {
+	f := newWorkspaceFixture(t)
+	var current atomic.Bool
+	f.handler.config.IsCurrent = current.Load
+	for key, want := range map[string]int{testKey: http.StatusOK, "new": http.StatusServiceUnavailable} {
+		if response := f.sendRaw(t, http.MethodGet, "/reads/1", "", "Authorization: Key "+key); response.StatusCode != want {
+			t.Errorf("without contact, %s: got status %d, want %d", key, response.StatusCode, want)
+		}
+	}
+	current.Store(true)
+	if response := f.sendRaw(t, http.MethodGet, "/reads/1", "", "Authorization: Key new"); response.StatusCode != http.StatusUnauthorized {
+		t.Errorf("with contact: got status %d, want 401", response.StatusCode)
+	}
+}
+
 // TestWorkspaceOrdersQueue guards against a queue that ranks a request by its route
 // although the workspace has a priority, or is fair among addresses.
 func TestWorkspaceOrdersQueue(t *testing.T) {
--- a/internal/exchange/confirm.go
+++ b/internal/exchange/confirm.go
@@ -131,6 +131,14 @@
 	}
 }
 
+// IsCurrent reports whether a control host confirmed the changes of this entry host not
+// long ago.
+func (e *Exchange) IsCurrent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.IsCurrent(e.now())
+}
+
 func (e *Exchange) stateRequest() stateRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/exchange/statepoller.go
+++ b/internal/exchange/statepoller.go
@@ -24,6 +24,10 @@
 	// nothing new: in a large fleet control hosts have direct links to a part of
 	// the hosts only.
 	maxSilenceLimit = 2 * minSilenceLimit
+	// maxCurrentSilence is the time without contact for which an entry host counts as
+	// current. It is twice the longest time between two requests, so that a lost one
+	// has been repeated.
+	maxCurrentSilence = 2 * maxSilenceLimit
 )
 
 // statePoller decides when an entry host asks a control host for the confirmed
@@ -203,3 +207,9 @@
 func (c *Core) ControlSilence(now time.Time) time.Duration {
 	return now.Sub(c.statePoller.lastContact)
 }
+
+// IsCurrent reports whether a control host confirmed not long ago that an entry host
+// holds the newest changes.
+func (c *Core) IsCurrent(now time.Time) bool {
+	return c.ControlSilence(now) <= maxCurrentSilence
+}
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -53,6 +53,7 @@
 		Host:         config.Name,
 		Incarnation:  e.incarnation,
 		Contracts:    e.currentContracts,
+		IsCurrent:    e.current.Load,
 		Services:     &e.services,
 		Ledger:       e.ledger,
 		Observer:     e.ejector,
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -80,6 +80,9 @@
 	traffic   *entry.Server
 	// ready is set once the host knows a current configuration and stays set.
 	ready atomic.Bool
+	// current is set while a control host has confirmed not long ago that this host
+	// holds the newest changes.
+	current atomic.Bool
 	// drained is closed when an operator drains the host.
 	drained   chan struct{}
 	drainOnce sync.Once
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -108,6 +108,7 @@
 	if !e.ready.Load() && e.exchange.Ready() {
 		e.ready.Store(true)
 	}
+	e.current.Store(e.exchange.IsCurrent())
 	members := e.exchange.Members()
 	e.links.set(members)
 	e.services.setHosts(e.liveEntryHosts(members))
