--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -318,6 +318,50 @@
 	}
 }
 
+// TestKeyRemovedBetweenAttempts guards against a 401 that hides that an earlier attempt
+// may have run, and against a further attempt under the removed key.
+func TestKeyRemovedBetweenAttempts(t *testing.T) {
+	f := newWorkspaceFixture(t)
+	closing := startRawBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = readRequest(reader)
+		_ = conn.Close()
+	})
+	f.pool.backends = slices.Insert(f.pool.backends, 0, mustardramp.Backend{
+		ID: "mohor/closing", Service: "mohor", Address: netip.MustParseAddrPort(closing), State: mustardramp.Serving,
+	})
+	acquired := 0
+	f.pool.onAcquire = func() {
+		if acquired++; acquired == 2 {
+			table := workspaceTable()
+			table.Version, table.Workspaces[0].Keys = 2, nil
+			f.setTable(t, table)
+		}
+	}
+	response := f.sendRaw(t, http.MethodGet, "/reads/1", "", "Authorization: Key "+testKey)
+	_ = readBody(t, response)
+	if got := len(f.requests()); response.StatusCode != http.StatusBadGateway || got > 0 || acquired != 2 {
+		t.Errorf("got status %d, %d requests at the second backend and %d slots, want 502, none and 2", response.StatusCode, got, acquired)
+	}
+}
+
+// TestContractRoutesNeedAKey guards against requests without a key that are served by a
+// contract beside a routing table with workspaces.
+func TestContractRoutesNeedAKey(t *testing.T) {
+	f := newWorkspaceFixture(t)
+	table := workspaceTable()
+	table.Routes = nil
+	f.set.Store(contract.NewSet(1, []*contract.Contract{parseContract(t), parseTable(t, table)}))
+	for line, want := range map[string]int{"Authorization: Key " + testKey: http.StatusOK, "X-Any: 1": http.StatusUnauthorized} {
+		response := f.sendRaw(t, http.MethodGet, "/files/1", "", line)
+		if response.StatusCode != want {
+			t.Errorf("%s: got status %d, want %d", line, response.StatusCode, want)
+		}
+	}
+	if got := f.pool.demands; len(got) != 1 || got[0].Caller != "acme" || got[0].Rank != mustardramp.Urgent {
+		t.Errorf("got demands %+v, want one of acme in its own rank", got)
+	}
+}
+
 // fakeQuotas records the tokens taken and given back.
 type fakeQuotas struct {
 	mu             sync.Mutex
