--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -60,6 +60,7 @@
 		Host:         config.Name,
 		Incarnation:  e.incarnation,
 		Contracts:    e.currentContracts,
+		IsCurrent:    e.current.Load,
 		Services:     &e.services,
 		Quotas:       e.quotas,
 		Ledger:       e.ledger,
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -115,6 +115,7 @@
 	if !e.ready.Load() && e.exchange.Ready() {
 		e.ready.Store(true)
 	}
+	e.current.Store(e.exchange.IsCurrent())
 	members := e.exchange.Members()
 	e.links.set(members)
 	live := e.liveEntryHosts(members)
