Wait for a new keeper at a planned change, and waste no tokens asked in advance

Cause: when the keeper left, requests inside the quota were refused until another host had won the votes. Tokens asked for 200 ms in advance expired unused at some hosts. A pool without a list of hosts took itself for the whole fleet.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -22,8 +22,9 @@
 	fallbackLifetime = time.Second
 	// demandPeriod is the time over which a host counts its own requests.
 	demandPeriod = time.Second
-	// batchPeriod is the time for which a host with much demand asks in advance.
-	batchPeriod = 200 * time.Millisecond
+	// batchPeriod is the time for which a host with much demand asks in advance. With
+	// 200 ms, tokens that expired unused caused refusals inside the quota.
+	batchPeriod = 100 * time.Millisecond
 	// keeperBackoff is how long a keeper that did not answer is not asked.
 	keeperBackoff = time.Second
 	// fallbackPause is how long a host that reached no keeper asks none.
@@ -60,7 +61,7 @@
 }
 
 // ahead returns the tokens to ask for beside those for waiting requests. Two standard
-// deviations less than the mean of batchPeriod rarely remain unused; below 20 requests
+// deviations less than the mean of batchPeriod rarely remain unused; below 40 requests
 // a second it is none.
 func (d *demand) ahead(now time.Time) int {
 	mean := d.rate(now) * batchPeriod.Seconds()
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -24,6 +24,11 @@
 	askTimeout = 800 * time.Millisecond
 	// campaignTimeout is the time for each of the two rounds of a campaign.
 	campaignTimeout = 300 * time.Millisecond
+	// changeTimeout is how long requests wait for a new keeper before the fallback
+	// decides on them, with an ask every changePause. A planned change takes a few round
+	// trips, and some campaigns if several hosts share the votes.
+	changeTimeout = 600 * time.Millisecond
+	changePause   = 50 * time.Millisecond
 	// keepersAsked is the number of hosts in rendezvous order that are asked in turn.
 	keepersAsked = 3
 	// logInterval is the least time between two log lines on the refusals of a workspace.
@@ -35,7 +40,7 @@
 	minRetryAfter = 100 * time.Millisecond
 )
 
-// Config configures a Pool. Without Peers the host is a fleet of its own.
+// Config configures a Pool. Peers may be nil in a fleet of one host.
 type Config struct {
 	Self  Candidate
 	Peers Peers
@@ -60,8 +65,10 @@
 	down sync.Map
 	// calls are the goroutines that call other hosts.
 	calls errgroup.Group
-	// stopping is set once this host keeps no more workspaces.
+	// stopping is set once this host keeps no more workspaces, and stopped is closed when
+	// it has released its votes.
 	stopping atomic.Bool
+	stopped  chan struct{}
 
 	// mu guards voter.
 	mu    sync.Mutex
@@ -100,7 +107,7 @@
 	forgotten bool
 }
 
-// New returns a pool of a fleet that consists of this host. SetHosts sets others.
+// New returns a pool of a fleet without hosts, which has no keepers. SetHosts sets them.
 func New(config Config) *Pool {
 	if config.Clock == nil {
 		config.Clock = mustardramp.SystemClock{}
@@ -111,10 +118,9 @@
 	if config.Draw == nil {
 		config.Draw = rand.Float64
 	}
-	p := &Pool{config: config}
+	p := &Pool{config: config, stopped: make(chan struct{})}
 	p.voter.startedAt = config.Clock.Now()
-	self := []mustardramp.HostName{config.Self.Host}
-	p.fleet.Store(newFleet(self, self))
+	p.fleet.Store(newFleet(nil, nil))
 	return p
 }
 
@@ -236,6 +242,7 @@
 // askWhileWaiting asks keepers until no request waits. All requests that wait at the
 // same time share one ask.
 func (p *Pool) askWhileWaiting(h *holderState) {
+	var failedSince time.Time
 	for {
 		h.mu.Lock()
 		if len(h.waiting) == 0 {
@@ -251,6 +258,16 @@
 
 		h.mu.Lock()
 		now := p.config.Clock.Now()
+		if keeper == "" && !h.lost && (failedSince.IsZero() || now.Sub(failedSince) < changeTimeout) {
+			if failedSince.IsZero() {
+				failedSince = now
+			}
+			h.keeper = ""
+			h.mu.Unlock()
+			time.Sleep(changePause)
+			continue
+		}
+		failedSince = time.Time{}
 		if keeper == "" {
 			p.fallBack(h, now)
 		} else {
@@ -368,6 +385,11 @@
 // it first tries to win the votes.
 func (p *Pool) Answer(ctx context.Context, ask Ask) Answer {
 	if p.stopping.Load() {
+		// Once the votes are released, another host can win them at the first try.
+		select {
+		case <-p.stopped:
+		case <-ctx.Done():
+		}
 		return Answer{}
 	}
 	k := p.lockKeeper(ask.Workspace)
@@ -586,7 +608,10 @@
 // Stop releases the votes of this host, so that other hosts keep its workspaces at once
 // and know what its buckets held.
 func (p *Pool) Stop() {
-	p.stopping.Store(true)
+	if p.stopping.Swap(true) {
+		return
+	}
+	defer close(p.stopped)
 	var group errgroup.Group
 	p.keepers.Range(func(_, value any) bool {
 		k := value.(*keeperState)
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -37,6 +37,7 @@
 	pool    *Pool
 	starts  mustardramp.Incarnation
 	dead    bool
+	absent  bool          // has not joined yet, or has left
 	thawed  chan struct{} // nil unless frozen
 	side    int           // hosts of different sides do not reach each other
 	region  int
@@ -48,8 +49,12 @@
 
 // sim is a fleet on the virtual clock of a synctest bubble, with one workspace.
 type sim struct {
+	// rand is used by the goroutine that runs the simulation, draws by the pools.
+	rand   *rand.Rand
+	randMu sync.Mutex
+	draws  *rand.Rand
+
 	mu    sync.Mutex
-	rand  *rand.Rand
 	nodes []*node
 	// used holds the times of the admitted requests.
 	used    []time.Time
@@ -59,7 +64,7 @@
 }
 
 func newSim(hosts int, seed uint64, q mustardramp.Quota) *sim {
-	s := &sim{rand: rand.New(rand.NewPCG(seed, 1))}
+	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), draws: rand.New(rand.NewPCG(seed, 2))}
 	for i := range hosts {
 		n := &node{sim: s, name: mustardramp.HostName(fmt.Sprintf("host-%03d", i)), region: i % 2, quota: q, version: 1}
 		n.start()
@@ -70,9 +75,9 @@
 }
 
 func (s *sim) draw() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rand.Float64()
+	s.randMu.Lock()
+	defer s.randMu.Unlock()
+	return s.draws.Float64()
 }
 
 func (n *node) start() {
@@ -159,7 +164,9 @@
 	now := time.Now()
 	var known []mustardramp.HostName
 	for _, m := range s.nodes {
-		known = append(known, m.name)
+		if !m.absent {
+			known = append(known, m.name)
+		}
 	}
 	for _, n := range s.nodes {
 		if n.dead || n.thawed != nil {
@@ -167,6 +174,9 @@
 		}
 		var live []mustardramp.HostName
 		for _, m := range s.nodes {
+			if m.absent {
+				continue
+			}
 			if m.dead || m.thawed != nil || m.side != n.side {
 				if n.cutSince[m].IsZero() {
 					n.cutSince[m] = now
@@ -186,7 +196,7 @@
 // take makes one request at a host.
 func (s *sim) take(n *node) {
 	s.mu.Lock()
-	ok, pool, q := !n.dead && n.thawed == nil, n.pool, n.quota
+	ok, pool, q := !n.dead && !n.absent && n.thawed == nil, n.pool, n.quota
 	s.mu.Unlock()
 	if !ok {
 		return
@@ -215,6 +225,7 @@
 				s.mu.Lock()
 				event()
 				s.mu.Unlock()
+				s.refresh()
 			}
 		}
 		if i%1000 == 0 {
@@ -237,9 +248,7 @@
 func (s *sim) poisson(mean float64) int {
 	n, t := 0, 0.0
 	for {
-		s.mu.Lock()
 		t += s.rand.ExpFloat64()
-		s.mu.Unlock()
 		if t > mean {
 			return n
 		}
@@ -250,16 +259,10 @@
 // zipf returns a choice of hosts in which few hosts get most requests.
 func (s *sim) zipf() func() *node {
 	z := rand.NewZipf(s.rand, 1.2, 1, uint64(len(s.nodes)-1))
-	return func() *node {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.nodes[z.Uint64()]
-	}
+	return func() *node { return s.nodes[z.Uint64()] }
 }
 
 func (s *sim) uniform() *node {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	return s.nodes[s.rand.IntN(len(s.nodes))]
 }
 
