Close expensive unfinished heads when the account of callers is nearly full

Cause: unfinished heads keep their room until the routing table's header time is over. As long as they fill the account, ordinary requests are refused.

Change: from seven eighths of the account on, the most expensive unfinished heads older than a second are closed, four at a time and at most every 10 ms, since the search looks at all connections.

TestExpensiveHeadsMakeRoom failed without the call of relieve with "got 0 unfinished heads closed, want 1". TestNewConnectionReplacesAnIdleOne failed in one of three runs because the test did not wait until its first connection was idle; it waits now (five runs passed).

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -68,6 +68,25 @@
 	s.t.Errorf("got %d bytes held after all connections have ended, want 0", s.account.Used())
 }
 
+// awaitIdle waits until n connections are idle after a request.
+func (s *testServer) awaitIdle(n int) {
+	for range 1000 {
+		idle := 0
+		s.guard.mu.Lock()
+		for c := range s.guard.conns {
+			if w, isWaiting := c.waiting(); isWaiting && !w.Unfinished {
+				idle++
+			}
+		}
+		s.guard.mu.Unlock()
+		if idle == n {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.t.Fatalf("%d connections did not become idle", n)
+}
+
 func (s *testServer) dial() net.Conn {
 	s.t.Helper()
 	conn, err := net.Dial("tcp", s.address)
@@ -84,6 +103,7 @@
 func (s *testServer) exchange(text string, count int) []string {
 	s.t.Helper()
 	conn := s.dial()
+	defer func() { _ = conn.Close() }()
 	if _, err := io.WriteString(conn, text); err != nil {
 		s.t.Fatal(err)
 	}
@@ -219,12 +239,15 @@
 // connections than it has descriptors for, or none for new callers.
 func TestNewConnectionReplacesAnIdleOne(t *testing.T) {
 	s := start(t, Config{MaxConnections: 2})
-	first := s.dial()
-	if _, err := io.WriteString(first, get); err != nil {
-		t.Fatal(err)
+	first, second := s.dial(), s.dial()
+	for i, conn := range []net.Conn{first, second} {
+		if _, err := io.WriteString(conn, get); err != nil {
+			t.Fatal(err)
+		}
+		readResponses(conn, 1)
+		// The connection becomes idle after the response.
+		s.awaitIdle(i + 1)
 	}
-	readResponses(first, 1)
-	s.exchange(get, 1)
 	if got := s.exchange(get, 1); len(got) != 1 || got[0] != "200 /a 0 " {
 		t.Errorf("got %q, want the third connection served", got)
 	}
@@ -236,6 +259,43 @@
 	}
 }
 
+// TestExpensiveHeadsMakeRoom guards against unfinished heads that take the whole account
+// until their time is over, while ordinary requests are refused.
+func TestExpensiveHeadsMakeRoom(t *testing.T) {
+	s := start(t, Config{Account: &callerlimit.Account{Limit: 200 << 10}})
+	slow := s.dial()
+	if _, err := io.WriteString(slow, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\n", 400)); err != nil {
+		t.Fatal(err)
+	}
+	answers := make(chan string, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		answer, err := io.ReadAll(slow)
+		answers <- string(answer)
+		return err
+	})
+	account := s.guard.config.Account
+	for account.Used() < 100<<10 {
+		time.Sleep(time.Millisecond)
+	}
+	// What the host holds for requests in service leaves room for a connection only.
+	account.Hold(165<<10 - account.Used())
+	deadline := time.Now().Add(20 * time.Second)
+	for got := s.exchange(get, 1); len(got) != 1 || got[0] != "200 /a 0 "; got = s.exchange(get, 1) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got %q, want the request served", got)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := s.guard.Counts()[Expensive]; got != 1 {
+		t.Errorf("got %d unfinished heads closed, want 1", got)
+	}
+	_ = group.Wait()
+	if got := <-answers; got != "" {
+		t.Errorf("got %q, want the connection closed", got)
+	}
+}
+
 // TestServedRequestIsNotReplaced guards against a request in flight that is cut for a
 // new connection.
 func TestServedRequestIsNotReplaced(t *testing.T) {
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -102,6 +102,7 @@
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	c.guard.relieve()
 	c.mu.Lock()
 	if c.refused {
 		return 0, nil, errRefused
@@ -239,11 +240,12 @@
 func (c *Conn) waiting() (callerlimit.Waiting, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return callerlimit.Waiting{Since: c.since, Unfinished: !c.served || c.head.Started()}, !c.serving && !c.refused
+	return callerlimit.Waiting{Since: c.since, Unfinished: !c.served || c.head.Started(), Cost: c.headCharge}, !c.serving && !c.refused
 }
 
-// evict makes the connection deliver no more bytes. It returns false if a request is
-// being served.
+// evict makes the connection deliver no more bytes and releases what its head holds,
+// which is garbage as soon as net/http sees the end of the connection. It returns false
+// if a request is being served.
 func (c *Conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -251,6 +253,8 @@
 		return false
 	}
 	c.refused = true
+	c.guard.config.Account.Release(c.headCharge)
+	c.headCharge = 0
 	return true
 }
 
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -44,11 +44,14 @@
 	Replaced
 	// NoConnection means that a new connection was closed because no other could be.
 	NoConnection
+	// Expensive means that an unfinished head was closed because the account was
+	// nearly full.
+	Expensive
 	// CauseCount is the number of causes.
 	CauseCount
 )
 
-var causeNames = [CauseCount]string{"head-too-large", "no-room", "empty-lines", "head-timeout", "replaced", "no-connection"}
+var causeNames = [CauseCount]string{"head-too-large", "no-room", "empty-lines", "head-timeout", "replaced", "no-connection", "expensive"}
 
 // String returns the name of the cause in logs and counters.
 func (c Cause) String() string {
@@ -85,6 +88,9 @@
 	// reported holds the counts at the last log line. Only Report uses it.
 	reported [CauseCount]int64
 
+	// relievedAt is when relieve last closed connections, in Unix nanoseconds.
+	relievedAt atomic.Int64
+
 	mu sync.Mutex
 	// conns holds the open connections. A connection that is being closed for a new
 	// one is no longer in it.
@@ -217,19 +223,60 @@
 		g.conns[c] = struct{}{}
 		return nil, true
 	}
-	var longest callerlimit.Waiting
-	for other := range g.conns {
-		w, isWaiting := other.waiting()
-		if isWaiting && w.MayClose(now) && (victim == nil || w.CloseBefore(longest)) {
-			victim, longest = other, w
+	isAny := func(callerlimit.Waiting) bool { return true }
+	if victim = g.evict(now, isAny, callerlimit.Waiting.CloseBefore); victim == nil {
+		return nil, false
+	}
+	g.conns[c] = struct{}{}
+	return victim, true
+}
+
+// evict removes the first connection in an order among the eligible ones that may be
+// closed and returns it, or nil if there is none. The caller holds mu and closes the
+// connection.
+func (g *Guard) evict(now time.Time, isEligible func(callerlimit.Waiting) bool, isFirst func(w, other callerlimit.Waiting) bool) *Conn {
+	var victim *Conn
+	var first callerlimit.Waiting
+	for c := range g.conns {
+		w, isWaiting := c.waiting()
+		if isWaiting && w.MayClose(now) && isEligible(w) && (victim == nil || isFirst(w, first)) {
+			victim, first = c, w
 		}
 	}
 	if victim == nil || !victim.evict() {
-		return nil, false
+		return nil
 	}
 	delete(g.conns, victim)
-	g.conns[c] = struct{}{}
-	return victim, true
+	return victim
+}
+
+const (
+	// relieveInterval bounds the time that relieve takes: it looks at all connections.
+	relieveInterval = 10 * time.Millisecond
+	// relieveCount is how many connections relieve closes at most.
+	relieveCount = 4
+)
+
+// relieve closes the most expensive unfinished heads if the account is nearly full.
+func (g *Guard) relieve() {
+	if !g.config.Account.IsFull() {
+		return
+	}
+	now := time.Now()
+	last := g.relievedAt.Load()
+	if now.UnixNano()-last < int64(relieveInterval) || !g.relievedAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	for range relieveCount {
+		g.mu.Lock()
+		victim := g.evict(now, callerlimit.Waiting.HasCost, callerlimit.Waiting.CostsMore)
+		g.mu.Unlock()
+		if victim == nil {
+			return
+		}
+		_ = victim.Conn.Close()
+		g.count(Expensive, victim.Conn)
+	}
 }
 
 // remove removes a connection that was closed.
--- a/internal/callerlimit/account.go
+++ b/internal/callerlimit/account.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// fullShare is the share of the account from which unfinished heads are closed. The
+// rest has room for the ordinary requests that arrive in the meantime.
+const fullShare = 0.875
+
+// IsFull reports whether unfinished heads should be closed to make room for others.
+func (a *Account) IsFull() bool {
+	return a != nil && a.Limit > 0 && float64(a.Used()) > fullShare*float64(a.Limit)
+}
+
 // Hold reserves n bytes for a request that is already being served, even beyond the
 // bound. Requests that arrive later are refused instead.
 func (a *Account) Hold(n mustardramp.Bytes) {
--- a/internal/callerlimit/callerlimit.go
+++ b/internal/callerlimit/callerlimit.go
@@ -101,6 +101,20 @@
 	// Unfinished is true if the connection has not sent its first head or has sent a
 	// part of a head.
 	Unfinished bool
+	// Cost is what the part of the head costs.
+	Cost mustardramp.Bytes
+}
+
+// CostsMore reports whether the connection w should be closed rather than other to make
+// room in the account.
+func (w Waiting) CostsMore(other Waiting) bool {
+	return w.Cost > other.Cost
+}
+
+// HasCost reports whether closing the connection makes room for a head. Idle
+// connections have none.
+func (w Waiting) HasCost() bool {
+	return w.Cost > 0
 }
 
 // CloseBefore reports whether the connection w should be closed rather than other to
