Count the request heads of callers with TLS

Cause: the guard reads no encrypted bytes, so the account and the routing table's header limit left out callers with TLS.

TestEncryptedHeads covers it; there was no such code before.

--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -220,6 +221,47 @@
 	}
 }
 
+// TestEncryptedHeads guards against callers with TLS that the limits leave out.
+func TestEncryptedHeads(t *testing.T) {
+	tests := map[string]struct {
+		header    http.Header
+		wantCause Cause
+		want      int
+	}{
+		"ordinary":   {http.Header{"A": {"b"}}, -1, http.StatusOK},
+		"too large":  {http.Header{"A": {strings.Repeat("b", 2000)}}, HeadTooLarge, http.StatusRequestHeaderFieldsTooLarge},
+		"many lines": {http.Header{"A": make([]string, 300)}, NoRoom, http.StatusServiceUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			account := &callerlimit.Account{Limit: 100 << 10}
+			limits := func() callerlimit.Limits { return callerlimit.Limits{HeadBytes: 1900} }
+			guard := New("test", Config{Account: account, Limits: limits, Encrypted: true})
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			guard.Attach(server.Config)
+			server.Listener = guard.Listener(server.Listener)
+			server.StartTLS()
+			defer server.Close()
+			r, err := http.NewRequest(http.MethodGet, server.URL, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header = test.header
+			response, err := server.Client().Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != test.want {
+				t.Errorf("got status %d, want %d", response.StatusCode, test.want)
+			}
+			if test.wantCause >= 0 && guard.Counts()[test.wantCause] != 1 {
+				t.Errorf("got the counts %v, want one %s", guard.Counts(), test.wantCause)
+			}
+		})
+	}
+}
+
 // TestHeadTimeout guards against unfinished heads that are awaited forever.
 func TestHeadTimeout(t *testing.T) {
 	s := start(t, Config{Limits: func() callerlimit.Limits { return callerlimit.Limits{HeadTime: time.Millisecond} }})
--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -206,9 +207,6 @@
 // beginBody is called when the handler of a request begins. length is the length of
 // its body, or -1 if it is chunked.
 func (c *Conn) beginBody(length int64) {
-	if c.guard.config.Encrypted {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.body = callerlimit.NewBody(length)
@@ -258,18 +256,42 @@
 	return true
 }
 
+// refusal is the response to a caller that is refused.
+type refusal struct {
+	status int
+	header map[string]string
+	text   string
+}
+
 // refusals holds the response for each cause that has one. The requests were not passed
 // on, so the verdict is always the same.
-var refusals = map[Cause]string{
-	HeadTooLarge: newRefusal(http.StatusRequestHeaderFieldsTooLarge, "", "the request line and the headers exceed the limit"),
-	EmptyLines:   newRefusal(http.StatusBadRequest, "", "too many empty lines precede the request"),
-	NoRoom:       newRefusal(http.StatusServiceUnavailable, "Retry-After: 1\r\n", "the host has no memory left for the request"),
+var refusals = map[Cause]refusal{
+	HeadTooLarge: {http.StatusRequestHeaderFieldsTooLarge, refusalHeader, "the request line and the headers exceed the limit"},
+	EmptyLines:   {http.StatusBadRequest, refusalHeader, "too many empty lines precede the request"},
+	NoRoom:       {http.StatusServiceUnavailable, retryHeader, "the host has no memory left for the request"},
 }
 
-func newRefusal(status int, header, text string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"+
-		"Mustardramp-Verdict: operation=not-run, sending=not-run\r\n%sConnection: close\r\n\r\n%s",
-		status, http.StatusText(status), len(text), header, text)
+var (
+	refusalHeader = map[string]string{
+		"Content-Type":        "text/plain; charset=utf-8",
+		"Mustardramp-Verdict": "operation=not-run, sending=not-run",
+	}
+	retryHeader = map[string]string{
+		"Content-Type":        refusalHeader["Content-Type"],
+		"Mustardramp-Verdict": refusalHeader["Mustardramp-Verdict"],
+		"Retry-After":         "1",
+	}
+)
+
+// encode returns the refusal as a response that ends its connection.
+func (r refusal) encode() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\nConnection: close\r\n", r.status, http.StatusText(r.status), len(r.text))
+	for name, value := range r.header {
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+	}
+	b.WriteString("\r\n" + r.text)
+	return b.Bytes()
 }
 
 // refuse writes the refusal for a cause and then discards what the caller still sends,
@@ -277,7 +299,7 @@
 func (c *Conn) refuse(cause Cause, buffer []byte) {
 	c.guard.count(cause, c.Conn)
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	if _, err := c.Conn.Write([]byte(refusals[cause])); err != nil {
+	if _, err := c.Conn.Write(refusals[cause].encode()); err != nil {
 		return
 	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -71,8 +71,8 @@
 	// EmptyLines is the maximum number of empty lines before a request; 0 stands for
 	// DefaultEmptyLines.
 	EmptyLines int
-	// Encrypted is true if the connections carry TLS. Then only their number is
-	// limited, and heads are left to the limits of the http.Server.
+	// Encrypted is true if the connections carry TLS. Heads are then counted after
+	// net/http has read them within the limits of the http.Server.
 	Encrypted bool
 }
 
@@ -141,6 +141,10 @@
 		}
 	}
 	handler := server.Handler
+	if g.config.Encrypted {
+		server.Handler = g.chargeParsed(handler)
+		return
+	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, _ := r.Context().Value(connKey{}).(*Conn); c != nil {
 			c.beginBody(r.ContentLength)
@@ -149,6 +153,48 @@
 	})
 }
 
+// chargeParsed returns a handler that counts heads which net/http has already read.
+func (g *Guard) chargeParsed(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size, lines := parsedSize(r)
+		cost := callerlimit.HeadCost(size, lines)
+		switch {
+		case mustardramp.Bytes(size) > g.limits().HeadBytes:
+			g.refuseParsed(w, r, HeadTooLarge)
+		case !g.config.Account.Reserve(cost+callerlimit.RequestCost, cost):
+			g.refuseParsed(w, r, NoRoom)
+		default:
+			defer g.config.Account.Release(cost + callerlimit.RequestCost)
+			handler.ServeHTTP(w, r)
+		}
+	})
+}
+
+// parsedSize returns the size of the head of a request and the number of its lines.
+func parsedSize(r *http.Request) (size, lines int) {
+	const separators = len(": \r\n")
+	size, lines = len(r.Method)+len(r.RequestURI)+len(r.Host), 1
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+		lines += len(values)
+	}
+	return size, lines
+}
+
+// refuseParsed answers a request that is not passed on.
+func (g *Guard) refuseParsed(w http.ResponseWriter, r *http.Request, cause Cause) {
+	g.countCaller(cause, r.RemoteAddr)
+	refusal := refusals[cause]
+	for name, value := range refusal.header {
+		w.Header().Set(name, value)
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(refusal.status)
+	_, _ = w.Write([]byte(refusal.text))
+}
+
 // unwrap returns the connection of the guard below a connection, or nil.
 func unwrap(conn net.Conn) *Conn {
 	for conn != nil {
@@ -288,8 +334,12 @@
 
 // count counts a connection that was refused or closed.
 func (g *Guard) count(cause Cause, conn net.Conn) {
+	g.countCaller(cause, conn.RemoteAddr().String())
+}
+
+// countCaller counts a refusal for a caller with an address.
+func (g *Guard) countCaller(cause Cause, address string) {
 	g.counts[cause].Add(1)
-	address := conn.RemoteAddr().String()
 	g.lastCaller.Store(&address)
 }
 
