--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// NotNegative checks a limit whose default is 0.
+func (c *Checker) NotNegative(flag string, n int64) {
+	if n < 0 {
+		c.addFault(flag, fmt.Sprintf("%d is negative", n), "give a limit, or 0 for the default")
+	}
+}
+
 // Pair checks that a certificate and its key are both named or both left out, and
 // that the files can be read.
 func (c *Checker) Pair(certFlag, cert, keyFlag, key string) {
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -38,6 +38,7 @@
 	c.Grace("--grace", 5*time.Second, "--stop-delay", 5*time.Second)
 	c.Grace("--grace-after", -time.Second, "--stop-delay", 0)
 	c.Memory("--memory", 280)
+	c.NotNegative("--caller-connections", -1)
 	got := c.Err().Error()
 	for name, want := range map[string]string{
 		"invalid name":            `--name "Entry 1" is not a plain name`,
@@ -53,6 +54,7 @@
 		"duplicate address":       "--members names address 127.0.0.1:1 twice",
 		"grace within the delay":  "--grace 5s is not longer than --stop-delay (5s)",
 		"negative grace":          "--grace-after -1s is not longer than --stop-delay",
+		"negative limit":          "--caller-connections -1 is negative",
 		"memory in megabytes":     "--memory 280 bytes are less than 33554432",
 		"malformed member":        `--members "c2" is not a member`,
 	} {
@@ -66,6 +68,7 @@
 	var c setting.Checker
 	c.Name("--name", "entry-1")
 	c.Memory("--memory", 0)
+	c.NotNegative("--caller-memory", 0)
 	c.Memory("--memory", 280<<20)
 	c.Grace("--grace", 0, "--stop-delay", 5*time.Second)
 	c.Grace("--grace", 6*time.Second, "--stop-delay", 5*time.Second)
--- a/pkg/cmd/factory/common.go
+++ b/pkg/cmd/factory/common.go
@@ -57,6 +57,9 @@
 	check.File("--link-ca", c.LinkCA)
 	check.File("--admin-ca", c.AdminCA)
 	check.Memory("--memory", c.Memory)
+	check.NotNegative("--caller-memory", int64(c.CallerMemory))
+	check.NotNegative("--caller-connections", int64(c.CallerConnections))
+	check.NotNegative("--caller-empty-lines", int64(c.CallerEmptyLines))
 	for _, seed := range c.Seeds {
 		if address := check.Address("--seeds", seed); address.IsValid() {
 			common.Seeds = append(common.Seeds, address)
