--- a/internal/callerconn/guard.go
+++ b/internal/callerconn/guard.go
@@ -44,11 +44,14 @@
 	Replaced
 	// NoConnection means that a new connection was closed because no other could be.
 	NoConnection
+	// Expensive means that an unfinished head was closed because the account was
+	// nearly full.
+	Expensive
 	// CauseCount is the number of causes.
 	CauseCount
 )
 
-var causeNames = [CauseCount]string{"head-too-large", "no-room", "empty-lines", "head-timeout", "replaced", "no-connection"}
+var causeNames = [CauseCount]string{"head-too-large", "no-room", "empty-lines", "head-timeout", "replaced", "no-connection", "expensive"}
 
 // String returns the name of the cause in logs and counters.
 func (c Cause) String() string {
@@ -68,8 +71,8 @@
 	// EmptyLines is the maximum number of empty lines before a request; 0 stands for
 	// DefaultEmptyLines.
 	EmptyLines int
-	// Encrypted is true if the connections carry TLS. Then only their number is
-	// limited, and heads are left to the limits of the http.Server.
+	// Encrypted is true if the connections carry TLS. Heads are then counted after
+	// net/http has read them within the limits of the http.Server.
 	Encrypted bool
 }
 
@@ -85,6 +88,9 @@
 	// reported holds the counts at the last log line. Only Report uses it.
 	reported [CauseCount]int64
 
+	// relievedAt is when relieve last closed connections, in Unix nanoseconds.
+	relievedAt atomic.Int64
+
 	mu sync.Mutex
 	// conns holds the open connections. A connection that is being closed for a new
 	// one is no longer in it.
@@ -135,6 +141,10 @@
 		}
 	}
 	handler := server.Handler
+	if g.config.Encrypted {
+		server.Handler = g.chargeParsed(handler)
+		return
+	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, _ := r.Context().Value(connKey{}).(*Conn); c != nil {
 			c.beginBody(r.ContentLength)
@@ -143,6 +153,48 @@
 	})
 }
 
+// chargeParsed returns a handler that counts heads which net/http has already read.
+func (g *Guard) chargeParsed(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size, lines := parsedSize(r)
+		cost := callerlimit.HeadCost(size, lines)
+		switch {
+		case mustardramp.Bytes(size) > g.limits().HeadBytes:
+			g.refuseParsed(w, r, HeadTooLarge)
+		case !g.config.Account.Reserve(cost+callerlimit.RequestCost, cost):
+			g.refuseParsed(w, r, NoRoom)
+		default:
+			defer g.config.Account.Release(cost + callerlimit.RequestCost)
+			handler.ServeHTTP(w, r)
+		}
+	})
+}
+
+// parsedSize returns the size of the head of a request and the number of its lines.
+func parsedSize(r *http.Request) (size, lines int) {
+	const separators = len(": \r\n")
+	size, lines = len(r.Method)+len(r.RequestURI)+len(r.Host), 1
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+		lines += len(values)
+	}
+	return size, lines
+}
+
+// refuseParsed answers a request that is not passed on.
+func (g *Guard) refuseParsed(w http.ResponseWriter, r *http.Request, cause Cause) {
+	g.countCaller(cause, r.RemoteAddr)
+	refusal := refusals[cause]
+	for name, value := range refusal.header {
+		w.Header().Set(name, value)
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(refusal.status)
+	_, _ = w.Write([]byte(refusal.text))
+}
+
 // unwrap returns the connection of the guard below a connection, or nil.
 func unwrap(conn net.Conn) *Conn {
 	for conn != nil {
@@ -217,19 +269,60 @@
 		g.conns[c] = struct{}{}
 		return nil, true
 	}
-	var longest callerlimit.Waiting
-	for other := range g.conns {
-		w, isWaiting := other.waiting()
-		if isWaiting && w.MayClose(now) && (victim == nil || w.CloseBefore(longest)) {
-			victim, longest = other, w
+	isAny := func(callerlimit.Waiting) bool { return true }
+	if victim = g.evict(now, isAny, callerlimit.Waiting.CloseBefore); victim == nil {
+		return nil, false
+	}
+	g.conns[c] = struct{}{}
+	return victim, true
+}
+
+// evict removes the first connection in an order among the eligible ones that may be
+// closed and returns it, or nil if there is none. The caller holds mu and closes the
+// connection.
+func (g *Guard) evict(now time.Time, isEligible func(callerlimit.Waiting) bool, isFirst func(w, other callerlimit.Waiting) bool) *Conn {
+	var victim *Conn
+	var first callerlimit.Waiting
+	for c := range g.conns {
+		w, isWaiting := c.waiting()
+		if isWaiting && w.MayClose(now) && isEligible(w) && (victim == nil || isFirst(w, first)) {
+			victim, first = c, w
 		}
 	}
 	if victim == nil || !victim.evict() {
-		return nil, false
+		return nil
 	}
 	delete(g.conns, victim)
-	g.conns[c] = struct{}{}
-	return victim, true
+	return victim
+}
+
+const (
+	// relieveInterval bounds the time that relieve takes: it looks at all connections.
+	relieveInterval = 10 * time.Millisecond
+	// relieveCount is how many connections relieve closes at most.
+	relieveCount = 4
+)
+
+// relieve closes the most expensive unfinished heads if the account is nearly full.
+func (g *Guard) relieve() {
+	if !g.config.Account.IsFull() {
+		return
+	}
+	now := time.Now()
+	last := g.relievedAt.Load()
+	if now.UnixNano()-last < int64(relieveInterval) || !g.relievedAt.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	for range relieveCount {
+		g.mu.Lock()
+		victim := g.evict(now, callerlimit.Waiting.HasCost, callerlimit.Waiting.CostsMore)
+		g.mu.Unlock()
+		if victim == nil {
+			return
+		}
+		_ = victim.Conn.Close()
+		g.count(Expensive, victim.Conn)
+	}
 }
 
 // remove removes a connection that was closed.
@@ -241,8 +334,12 @@
 
 // count counts a connection that was refused or closed.
 func (g *Guard) count(cause Cause, conn net.Conn) {
+	g.countCaller(cause, conn.RemoteAddr().String())
+}
+
+// countCaller counts a refusal for a caller with an address.
+func (g *Guard) countCaller(cause Cause, address string) {
 	g.counts[cause].Add(1)
-	address := conn.RemoteAddr().String()
 	g.lastCaller.Store(&address)
 }
 
