Run the pipelined requests of a connection side by side

Cause: net/http reads the next request of a connection when the previous one is answered, so four pipelined requests of 500 ms are answered after 0.5 to 2 s.

Change: internal/pipeline, a listener in front of net/http's server, hands each GET or HEAD request that is sent ahead to an internal connection and writes the answers in order.

--- /dev/null
+++ b/internal/entry/pipeline_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestServerRunsPipelinedRequestsSideBySide guards against a server in plain text that is
+// not connected to internal/pipeline: the backend answers only when all requests of the
+// connection have reached it, or one by one if that is turned off.
+func TestServerRunsPipelinedRequestsSideBySide(t *testing.T) {
+	for name, requests := range map[string]int{"default": 0, "turned off": 1} {
+		t.Run(name, func(t *testing.T) {
+			const count = 3
+			var all sync.WaitGroup
+			all.Add(count)
+			backend := startBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				all.Done()
+				if requests == 0 {
+					all.Wait()
+				}
+				_, _ = io.WriteString(w, r.URL.Path)
+			})
+			s := startServerFixture(t, newFixture(t, backend), 0, func(server *Server) { server.Pipeline = requests })
+			if got, want := s.entryServer.pipelined.Load() != nil, requests == 0; got != want {
+				t.Errorf("side by side: got %t, want %t", got, want)
+			}
+			conn, reader := s.dial(t)
+			_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+			_, _ = io.WriteString(conn, strings.Repeat("GET /plain/a HTTP/1.1\r\nHost: mohor.example\r\n\r\n", count))
+			for range count {
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Fatalf("answer: got %v, want a complete one", err)
+				}
+				if got := readBody(t, response); got != "/plain/a" {
+					t.Errorf("answer: got %q, want /plain/a", got)
+				}
+			}
+			if err := s.entryServer.Stop(t.Context()); err != nil {
+				t.Errorf("Stop: got %v, want nil", err)
+			}
+		})
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/mustardramp/mustardramp/internal/pipeline"
 )
 
 // Limits on caller connections. No limit applies to a request as a whole: an
@@ -40,8 +42,14 @@
 	Grace time.Duration
 	// TLS may be nil; then callers connect in plain text.
 	TLS *tls.Config
+	// Pipeline is the largest number of requests in progress of one connection in plain
+	// text. 0 means pipeline.DefaultRequests; with 1 the next request starts after the
+	// answer to the one before.
+	Pipeline int
 
 	server http.Server
+	// pipelined is nil before Serve, and if the server runs no requests side by side.
+	pipelined atomic.Pointer[pipeline.Listener]
 	// ready is true from the start of Serve until Stop is called or Serve ends.
 	ready atomic.Bool
 }
@@ -68,7 +76,7 @@
 	if s.TLS != nil {
 		err = s.server.ServeTLS(listener, "", "")
 	} else {
-		err = s.server.Serve(listener)
+		err = s.server.Serve(s.splitPipelined(listener))
 	}
 	s.ready.Store(false)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -77,6 +85,18 @@
 	return err
 }
 
+// splitPipelined returns a listener that lets pipelined requests run side by side, or the
+// given one if that is turned off.
+func (s *Server) splitPipelined(listener net.Listener) net.Listener {
+	if s.Pipeline == 1 {
+		return listener
+	}
+	pipelined := pipeline.NewListener(listener, pipeline.Limits{Requests: s.Pipeline})
+	s.server.ConnState = pipelined.ConnState
+	s.pipelined.Store(pipelined)
+	return pipelined
+}
+
 // Ready reports whether load balancers should send requests to the server: it is
 // serving, has a configuration and is not stopping.
 func (s *Server) Ready() bool {
@@ -112,6 +132,9 @@
 	sleep(ctx, s.StopDelay)
 	s.Handler.stopping.Store(true)
 	err := s.server.Shutdown(ctx)
+	if pipelined := s.pipelined.Load(); pipelined != nil {
+		pipelined.Wait(ctx)
+	}
 	if ctx.Err() != nil {
 		err = s.abortInFlight()
 	}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -28,8 +28,15 @@
 
 func newServerFixture(t *testing.T, delay time.Duration, backends ...string) *serverFixture {
 	t.Helper()
-	s := &serverFixture{fixture: newFixture(t, backends...)}
+	return startServerFixture(t, newFixture(t, backends...), delay, func(*Server) {})
+}
+
+// startServerFixture starts a server that configure has prepared.
+func startServerFixture(t *testing.T, f *fixture, delay time.Duration, configure func(*Server)) *serverFixture {
+	t.Helper()
+	s := &serverFixture{fixture: f}
 	s.entryServer = NewServer(s.handler, delay, nil)
+	configure(s.entryServer)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -67,6 +67,7 @@
 	})
 	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.tlsConfigs.traffic)
 	e.traffic.Grace = config.Grace
+	e.traffic.Pipeline = config.Pipeline
 	e.handlePeerCalls()
 }
 
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -47,6 +47,9 @@
 	// Grace is the time after the signal to stop at which the process is ended from
 	// outside. Requests get their final answers before. 0 means that it has no end.
 	Grace time.Duration
+	// Pipeline is the largest number of requests in progress of one connection. 0 means
+	// pipeline.DefaultRequests, 1 means one after the other.
+	Pipeline int
 	// Headers holds the names of the headers that callers and backends use.
 	Headers entry.Headers
 	// RetryBudgetRatio and RetryBudgetSlack form the retry budget of the whole fleet
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -181,6 +181,13 @@
 	}
 }
 
+// Pipeline checks the requests of a connection that may be in progress.
+func (c *Checker) Pipeline(flag string, requests int) {
+	if requests < 1 {
+		c.addFault(flag, fmt.Sprintf("%d requests are less than 1", requests), "give 1 to run requests one after the other, or more")
+	}
+}
+
 // Pair checks that a certificate and its key are both named or both left out, and
 // that the files can be read.
 func (c *Checker) Pair(certFlag, cert, keyFlag, key string) {
--- a/internal/setting/setting_test.go
+++ b/internal/setting/setting_test.go
@@ -37,6 +37,7 @@
 	c.Members("--members", []string{"c1=127.0.0.1:1/kol-a/kolkata", "c1=127.0.0.1:1/kol-a/kolkata", "c2"})
 	c.Grace("--grace", 5*time.Second, "--stop-delay", 5*time.Second)
 	c.Grace("--grace-after", -time.Second, "--stop-delay", 0)
+	c.Pipeline("--pipeline", 0)
 	c.Memory("--memory", 280)
 	got := c.Err().Error()
 	for name, want := range map[string]string{
@@ -52,6 +53,7 @@
 		"duplicate host":          `--members names host "c1" twice`,
 		"duplicate address":       "--members names address 127.0.0.1:1 twice",
 		"grace within the delay":  "--grace 5s is not longer than --stop-delay (5s)",
+		"no request at a time":    "--pipeline 0 requests are less than 1",
 		"negative grace":          "--grace-after -1s is not longer than --stop-delay",
 		"memory in megabytes":     "--memory 280 bytes are less than 33554432",
 		"malformed member":        `--members "c2" is not a member`,
@@ -69,6 +71,7 @@
 	c.Memory("--memory", 280<<20)
 	c.Grace("--grace", 0, "--stop-delay", 5*time.Second)
 	c.Grace("--grace", 6*time.Second, "--stop-delay", 5*time.Second)
+	c.Pipeline("--pipeline", 1)
 	c.Place(mustardramp.Place{Zone: "kol-a", Region: "kolkata"}, nil)
 	c.Listener("--listen", "127.0.0.1:0")
 	c.Folder("--data", filepath.Join(t.TempDir(), "new"))
--- a/pkg/cmd/entry/serve/serve.go
+++ b/pkg/cmd/entry/serve/serve.go
@@ -25,6 +25,7 @@
 	LinkRate       mustardramp.Bytes `help:"Rate of the host's own link each way, in bytes a second; 0 paces no bodies." default:"0" env:"MUSTARDRAMP_LINK_RATE"`
 	StopDelay      time.Duration     `help:"Time from the fall of readiness to the end of accepting, for the balancer." default:"5s" env:"MUSTARDRAMP_STOP_DELAY"`
 	Grace          time.Duration     `help:"Time from a signal to stop until the process is ended from outside; 0 if it is not." default:"0s" env:"MUSTARDRAMP_GRACE"`
+	Pipeline       int               `help:"Pipelined GET and HEAD requests of one connection in plain text that may be in progress, in requests; 1 runs one after the other." default:"4" env:"MUSTARDRAMP_PIPELINE"`
 
 	factory *factory.Factory
 }
@@ -73,8 +74,10 @@
 		LinkRate:      o.LinkRate,
 		StopDelay:     o.StopDelay,
 		Grace:         o.Grace,
+		Pipeline:      o.Pipeline,
 	}
 	check.Grace("--grace", o.Grace, "--stop-delay", o.StopDelay)
+	check.Pipeline("--pipeline", o.Pipeline)
 	check.Secret("--announce-token", o.AnnounceToken)
 	check.Pair("--tls-cert", o.TLSCert, "--tls-key", o.TLSKey)
 	check.File("--tls-client-ca", o.TLSClientCA)
