--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -126,7 +127,7 @@
 					test.end(w)
 				case "/3":
 					// Longer than what is held: the write waits for its turn.
-					_, _ = io.WriteString(w, strings.Repeat("3", 2*DefaultBuffer))
+					_, _ = io.WriteString(w, strings.Repeat("3", 4*DefaultBuffer))
 					canceled <- r.URL.Path
 				case "/4":
 					<-r.Context().Done()
@@ -338,30 +339,112 @@
 }
 
 // TestIdleTimeAndHeaderTime guards against connections that stay open without a request,
-// or with an unfinished one, after pipelined requests.
+// or with an unfinished one, after pipelined requests, and against an idle time that
+// counts from the answer to the first of them.
 func TestIdleTimeAndHeaderTime(t *testing.T) {
 	tests := map[string]struct{ rest, want string }{
 		"idle":            {"", "error: unexpected EOF"},
-		"unfinished head": {"GET /3 HT", "400 Bad Request"},
+		"unfinished head": {"GET /4 HT", "400 Bad Request"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
-				_, _ = io.WriteString(w, r.URL.Path)
-			}, func(server *http.Server) {
-				server.IdleTimeout, server.ReadHeaderTimeout = 50*time.Millisecond, 50*time.Millisecond
+			synctest.Test(t, func(t *testing.T) {
+				begun := make(chan struct{})
+				f := newFixture(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+					switch r.URL.Path {
+					case "/1":
+						<-begun
+					case "/2":
+						close(begun)
+						time.Sleep(2 * time.Minute)
+					}
+					_, _ = io.WriteString(w, r.URL.Path)
+				}, func(server *http.Server) {
+					server.IdleTimeout, server.ReadHeaderTimeout = time.Minute, time.Minute
+				})
+				c := f.dial(t)
+				_ = c.SetDeadline(time.Now().Add(time.Hour))
+				c.send(gets("/1", "/2"))
+				for _, want := range []string{"/1", "/2", "/3", test.want} {
+					if want == "/3" {
+						time.Sleep(59 * time.Second)
+						c.send(get("/3") + test.rest)
+					}
+					if got := c.answer(); got != want {
+						t.Errorf("answer: got %q, want %q", got, want)
+					}
+				}
 			})
-			c := f.dial(t)
-			c.send(gets("/1", "/2") + test.rest)
-			for _, want := range []string{"/1", "/2", test.want} {
+		})
+	}
+}
+
+// TestWriteDeadlineOfHeldAnswer guards against a deadline that passes while an answer
+// waits for its turn, and against a held answer that waits for a slow caller forever.
+func TestWriteDeadlineOfHeldAnswer(t *testing.T) {
+	for delay, want := range map[time.Duration]string{59 * time.Second: "/2", 61 * time.Second: "error: unexpected EOF"} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/1" {
+						time.Sleep(5 * time.Minute)
+					}
+					_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Minute))
+					_, _ = io.WriteString(w, r.URL.Path)
+				})
+				c := f.dial(t)
+				_ = c.SetDeadline(time.Now().Add(time.Hour))
+				c.send(gets("/1", "/2"))
+				if got := c.answer(); got != "/1" {
+					t.Errorf("answer: got %q, want /1", got)
+				}
+				time.Sleep(delay)
 				if got := c.answer(); got != want {
 					t.Errorf("answer: got %q, want %q", got, want)
 				}
-			}
+			})
 		})
 	}
 }
 
+// TestClosingAnswerIsWrittenInFull guards against a held answer that is cut off because
+// its stream is closed while the answer is written.
+func TestClosingAnswerIsWrittenInFull(t *testing.T) {
+	proceed, finish := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-proceed
+			return
+		}
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "ok")
+		w.(http.Flusher).Flush()
+		<-finish
+	})
+	c := f.dial(t)
+	c.send(gets("/1", "/2"))
+	for !inspect(f, 1, func(s *stream) bool { return len(s.output) > 0 }) {
+		time.Sleep(time.Millisecond)
+	}
+	close(proceed)
+	if got := c.answer(); got != "" {
+		t.Fatalf("answer: got %q, want none", got)
+	}
+	for !inspect(f, 1, func(s *stream) bool { return s.conn.flushing }) {
+		time.Sleep(time.Millisecond)
+	}
+	close(finish)
+	for !inspect(f, 1, func(s *stream) bool { return s.isClosed }) {
+		time.Sleep(time.Millisecond)
+	}
+	for _, want := range []string{"ok", "error: unexpected EOF"} {
+		if got := c.answer(); got != want {
+			t.Errorf("answer: got %q, want %q", got, want)
+		}
+	}
+}
+
 // TestWaitCoversHeldAnswers guards against a process that ends after
 // http.Server.Shutdown while an answer that was held for its turn is not written.
 func TestWaitCoversHeldAnswers(t *testing.T) {
