--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -48,6 +48,9 @@
 	// serving is true from the end of a head to the end of its response, and served
 	// from the end of the first head on.
 	serving, served bool
+	// active is the number of requests in progress. Pipelined requests of the connection
+	// may run concurrently.
+	active int
 	// since is when the connection became idle, or when the first byte of the head
 	// arrived.
 	since time.Time
@@ -218,6 +221,9 @@
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateIdle:
+		if c.active--; c.active > 0 {
+			return
+		}
 		c.guard.config.Account.Release(c.requestCharge)
 		c.requestCharge = 0
 		c.serving = false
@@ -228,9 +234,8 @@
 			_ = c.Conn.Close()
 		}
 	case http.StateActive:
-		if c.guard.config.Encrypted {
-			c.serving, c.served = true, true
-		}
+		c.active++
+		c.serving, c.served = true, true
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/mustardramp/mustardramp/internal/callerconn"
+	"github.com/mustardramp/mustardramp/internal/pipeline"
 )
 
 // Limits on caller connections that carry TLS; those of the others are in
@@ -46,8 +47,14 @@
 	// Guard limits the connections of callers. NewServer sets one that applies the
 	// limits of the routing table in force.
 	Guard *callerconn.Guard
+	// Pipeline is the largest number of requests in progress of one connection in plain
+	// text. 0 means pipeline.DefaultRequests; with 1 the next request starts after the
+	// answer to the one before.
+	Pipeline int
 
 	server http.Server
+	// pipelined is nil before Serve, and if the server runs no requests side by side.
+	pipelined atomic.Pointer[pipeline.Listener]
 	// ready is true from the start of Serve until Stop is called or Serve ends.
 	ready atomic.Bool
 }
@@ -77,7 +84,7 @@
 	if s.TLS != nil {
 		err = s.server.ServeTLS(listener, "", "")
 	} else {
-		err = s.server.Serve(listener)
+		err = s.server.Serve(s.splitPipelined(listener))
 	}
 	s.ready.Store(false)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -86,6 +93,22 @@
 	return err
 }
 
+// splitPipelined returns a listener that lets pipelined requests run side by side, or the
+// given one if that is turned off.
+func (s *Server) splitPipelined(listener net.Listener) net.Listener {
+	if s.Pipeline == 1 {
+		return listener
+	}
+	pipelined := pipeline.NewListener(listener, pipeline.Limits{Requests: s.Pipeline})
+	follow := s.server.ConnState
+	s.server.ConnState = func(conn net.Conn, state http.ConnState) {
+		follow(conn, state)
+		pipelined.ConnState(conn, state)
+	}
+	s.pipelined.Store(pipelined)
+	return pipelined
+}
+
 // Ready reports whether load balancers should send requests to the server: it is
 // serving, has a configuration and is not stopping.
 func (s *Server) Ready() bool {
@@ -121,6 +144,9 @@
 	sleep(ctx, s.StopDelay)
 	s.Handler.stopping.Store(true)
 	err := s.server.Shutdown(ctx)
+	if pipelined := s.pipelined.Load(); pipelined != nil {
+		pipelined.Wait(ctx)
+	}
 	if ctx.Err() != nil {
 		err = s.abortInFlight()
 	}
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -78,6 +78,7 @@
 	e.traffic = entry.NewServer(e.handler, config.StopDelay, e.tlsConfigs.traffic)
 	e.traffic.Guard = e.guards.newMain("callers", e.handler.CallerLimits, e.tlsConfigs.traffic != nil)
 	e.traffic.Grace = config.Grace
+	e.traffic.Pipeline = config.Pipeline
 	e.handlePeerCalls()
 }
 
