--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -51,6 +51,7 @@
 		Self:  config.self(membership.Entry, e.LinkAddress(), e.AdminAddress(), e.incarnation),
 		Seeds: config.seeds(),
 		TLS:   e.tlsConfigs.linkClient,
+		Rate:  exchangeRate(config.LinkRate),
 		Clock: config.Clock,
 	})
 	e.roster.Send = e.exchange.Offer
