Treat risks of healthy backends as equal in LowestCost

Cause: the risk of a healthy backend is 0.002 after a success and grows to 0.1 in 2 s without an attempt. LowestCost took the lowest risk, which is that of the backend used last, so that a few backends got most of a light load.

Change: risks up to 0.1 count as equal. Utilization and network cost decide among healthy backends.

Test: TestHealthyBackendsGetEqualWork got 2.72 times the mean at the busiest backend before, and passes with at most 1.5.

--- a/internal/pool/choice.go
+++ b/internal/pool/choice.go
@@ -154,6 +154,11 @@
 	// fullBackendCost is the cost of the last slot of a backend relative to that
 	// of a certain failure. Some backends slow down when nearly full.
 	fullBackendCost = 0.3
+	// healthyRisk is the risk up to which backends count as equally healthy. The risk
+	// of a healthy backend grows from 0.002 to this value in 2 s without an attempt.
+	// Such differences show which backend was used last, not which one is healthy,
+	// and a choice by them concentrates the work on the backends in use.
+	healthyRisk = 0.1
 	// assumedBodySize stands in for the length of a body sent in chunks. It is
 	// half of the mean upload.
 	assumedBodySize mustardramp.Bytes = 30 << 10
@@ -189,7 +194,7 @@
 			continue
 		}
 		utilization := c.Utilization(i)
-		cost := c.Risk(i) + fullBackendCost*utilization*utilization + c.NetworkCost(i)
+		cost := max(healthyRisk, c.Risk(i)) + fullBackendCost*utilization*utilization + c.NetworkCost(i)
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
