Choose groups of backends by the free slots that keepers state

Cause: hosts chose among groups by reported waits, which are 0 until a group is full, and otherwise at random by slots. Groups differ in healthy and fast backends, so that slots were idle in one group while requests waited in another.

Change: grants and denials state the free slots of the group. Hosts keep a moving mean of 2 s for each group and draw among groups by slots and room. The smoothing keeps hosts that have the same old statements from overloading the groups in turn. Histograms show the age of the knowledge and the imbalance by service. No message is added.

--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -55,6 +55,10 @@
 	// attempts in ten seconds. A ratio of 0 means the table's default.
 	RetryBudgetRatio float64
 	RetryBudgetSlack int
+	// MaxLoadAge is the age up to which stated free slots count in the choice among
+	// groups of backends. 0 means the default; a negative value turns the choice by
+	// free slots off.
+	MaxLoadAge time.Duration
 }
 
 // Entry is an entry host: it accepts the requests of callers and sends them to
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -56,6 +56,8 @@
 	// ratio and slack form the retry budget of the whole fleet for a service.
 	ratio float64
 	slack int
+	// maxLoadAge is the age up to which hosts use what keepers stated of their load.
+	maxLoadAge time.Duration
 	// link is this host's part of the link between regions.
 	link   linkquota.Link
 	byName atomic.Pointer[map[mustardramp.ServiceName]*runningService]
@@ -114,6 +116,8 @@
 		Peers:  s.peers,
 		Ratio:  s.ratio,
 		Slack:  s.slack,
+
+		MaxLoadAge: s.maxLoadAge,
 	})
 	r.entry = entry.Service{Pool: &countingPool{Pool: r.pool, counts: &r.counts}, Budget: r.budget}
 	if c.Pooled {
--- a/internal/host/view.go
+++ b/internal/host/view.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mustardramp/mustardramp"
@@ -223,13 +224,19 @@
 // Histograms implements admin.Fleet.
 func (v *entryView) Histograms(prefix string) []*fleetapi.Histogram {
 	out := []*fleetapi.Histogram{}
-	for _, r := range v.tally.Read() {
-		for _, h := range histogramsOf(r) {
+	add := func(all []*fleetapi.Histogram) {
+		for _, h := range all {
 			if strings.HasPrefix(h.Name, prefix) {
 				out = append(out, h)
 			}
 		}
 	}
+	for _, r := range v.tally.Read() {
+		add(histogramsOf(r))
+	}
+	for name, r := range v.services.all() {
+		add(loadHistogramsOf(name, r.pool.LoadMetrics()))
+	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
@@ -244,6 +251,20 @@
 	}
 }
 
+// loadHistogramsOf returns the histograms of how evenly the slots of a service are
+// used.
+func loadHistogramsOf(name mustardramp.ServiceName, m *lease.LoadMetrics) []*fleetapi.Histogram {
+	const thousandthsPerPercent = 10
+	histogram := func(class string, h metrics.Histogram, unit float64, unitName string) *fleetapi.Histogram {
+		return histogramOf(class+"/"+string(name), h.Count(), tally.Summarize(h), unit, unitName)
+	}
+	return []*fleetapi.Histogram{
+		histogram("load-age", m.Age, float64(time.Millisecond), "ms"),
+		histogram("backend-imbalance", m.Backends, thousandthsPerPercent, "%"),
+		histogram("group-imbalance", m.Groups, thousandthsPerPercent, "%"),
+	}
+}
+
 func histogramOf(name string, count int64, s tally.Summary, unit float64, unitName string) *fleetapi.Histogram {
 	return &fleetapi.Histogram{
 		Name: name, Count: count, Mean: s.Mean / unit, P50: s.P50 / unit, P99: s.P99 / unit,
--- a/internal/lease/choice.go
+++ b/internal/lease/choice.go
@@ -30,9 +30,11 @@
 	return float64(distancePenalties[d]) * (1 + float64(max(0, size))/bytesPerPenalty)
 }
 
-// groupWaits holds the waits that the keeper of a group reported, by rank.
+// groupWaits holds what the keeper of a group reported: the waits by rank and the
+// free slots.
 type groupWaits struct {
 	ranks [mustardramp.RankCount]rankWait
+	room  statedRoom
 }
 
 // rankWait is the reported wait of one rank.
@@ -45,13 +47,18 @@
 
 // recordWait stores the wait that a group's keeper reported for a rank.
 func (p *Pool) recordWait(id GroupID, rank mustardramp.Rank, wait time.Duration) {
+	s := &p.groupWaits(id).ranks[rank]
+	s.wait.Store(int64(wait))
+	s.reportedAt.Store(p.clock.Now().UnixNano())
+}
+
+// groupWaits returns what is known of a group, which it creates at the first use.
+func (p *Pool) groupWaits(id GroupID) *groupWaits {
 	value, ok := p.waits.Load(id)
 	if !ok {
 		value, _ = p.waits.LoadOrStore(id, &groupWaits{})
 	}
-	s := &value.(*groupWaits).ranks[rank]
-	s.wait.Store(int64(wait))
-	s.reportedAt.Store(p.clock.Now().UnixNano())
+	return value.(*groupWaits)
 }
 
 // expectedWait returns a lower bound, in nanoseconds, of the wait of a rank at a
@@ -76,16 +83,18 @@
 	now := p.clock.Now()
 	groups := p.plan.Load().groups
 	// Each wait is read only once, since waits change concurrently.
-	costs := make([]float64, len(groups))
+	var buffer [groupBuffer]float64
+	costs := buffer[:0]
 	minCost := math.Inf(1)
-	for i, g := range groups {
-		costs[i] = p.cost(g, demand, skip, now.UnixNano())
-		minCost = min(minCost, costs[i])
+	for _, g := range groups {
+		cost := p.cost(g, demand, skip, now.UnixNano())
+		costs = append(costs, cost)
+		minCost = min(minCost, cost)
 	}
 	if math.IsInf(minCost, 1) {
 		return nil
 	}
-	best := p.pickWeighted(groups, costs, minCost+float64(minWaitError))
+	best := p.pickWeighted(groups, costs, minCost+float64(minWaitError), now)
 	if !p.allowCrossing(best, demand, now) {
 		return p.chooseInRegion(demand, skip)
 	}
@@ -104,30 +113,36 @@
 }
 
 // pickWeighted returns a random group among those that cost at most maxCost,
-// weighted by their slots. In a large service most groups report no wait, so that
+// weighted by their room. In a large service most groups report no wait, so that
 // without the random choice all hosts would send all requests to the keeper that
 // comes first in the plan.
-func (p *Pool) pickWeighted(groups []*group, costs []float64, maxCost float64) *group {
-	total := 0
-	for i, g := range groups {
+func (p *Pool) pickWeighted(groups []*group, costs []float64, maxCost float64, now time.Time) *group {
+	var buffer [groupBuffer]float64
+	weights, total := p.roomWeights(groups, buffer[:0], now), 0.0
+	for i := range groups {
 		if costs[i] <= maxCost {
-			total += g.weight()
+			total += weights[i]
 		}
 	}
-	offset := int(mix(p.config.Pool.Seed+p.draws.Add(1)) % uint64(total))
+	// The upper 53 bits of the random number give a number from 0 to below 1.
+	offset := float64(mix(p.config.Pool.Seed+p.draws.Add(1))>>11) / (1 << 53) * total
 	var picked *group
 	for i, g := range groups {
 		if costs[i] > maxCost {
 			continue
 		}
 		picked = g
-		if offset -= g.weight(); offset < 0 {
+		if offset -= weights[i]; offset < 0 {
 			break
 		}
 	}
+	p.recordAge(picked, now)
 	return picked
 }
 
+// groupBuffer is the number of groups up to which a choice needs no allocation.
+const groupBuffer = 16
+
 // weight returns the number of the group's slots, but at least 1, so that a group
 // whose backends are all on trial can be picked.
 func (g *group) weight() int {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -63,6 +63,9 @@
 	Denial *mustardramp.Denial `json:"denial" cbor:"2,keyasint"`
 	// Wait is the time that another request of the rank would wait.
 	Wait time.Duration `json:"wait" cbor:"3,keyasint"`
+	// Free is the number of free slots less the number of waiting requests, or nil
+	// when the keeper does not state it.
+	Free *int32 `json:"free,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Return ends a lease or withdraws a request.
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -41,6 +41,10 @@
 	hosts []Host
 	// isolated holds the hosts whose calls fail in both directions.
 	isolated map[mustardramp.HostName]bool
+	// age delays what grants state about the load of a group.
+	age time.Duration
+	// stated holds, by group, the statements that are not older than age.
+	stated map[GroupID][]statedLoad
 }
 
 func (n *network) find(host, from mustardramp.HostName) (*Pool, error) {
@@ -59,10 +63,37 @@
 		return Response{}, err
 	}
 	response, err := p.Grant(ctx, request)
+	if n.age > 0 && err == nil {
+		n.ageStatement(request.Group, &response)
+	}
 	time.Sleep(time.Millisecond)
 	return response, err
 }
 
+// statedLoad is what a grant stated about the load of its group.
+type statedLoad struct {
+	at   time.Time
+	wait time.Duration
+	free *int32
+}
+
+// ageStatement replaces what a response states about the load of the group by the
+// latest statement that is at least age old.
+func (n *network) ageStatement(id GroupID, response *Response) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.stated == nil {
+		n.stated = map[GroupID][]statedLoad{}
+	}
+	now := time.Now()
+	all := append(n.stated[id], statedLoad{at: now, wait: response.Wait, free: response.Free})
+	for len(all) > 1 && now.Sub(all[1].at) >= n.age {
+		all = all[1:]
+	}
+	n.stated[id] = all
+	response.Wait, response.Free = all[0].wait, all[0].free
+}
+
 func (n *network) Report(_ context.Context, host mustardramp.HostName, report Report) error {
 	time.Sleep(time.Millisecond)
 	p, err := n.find(host, report.Holder.Host)
--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -69,7 +69,13 @@
 		slot.Release(mustardramp.ResultAbandoned, 0)
 		return Response{}, context.Canceled
 	}
-	return Response{Backend: slot.Backend(), Wait: l.pool.ExpectedWait(request.Rank)}, nil
+	return Response{Backend: slot.Backend(), Wait: l.pool.ExpectedWait(request.Rank), Free: l.free()}, nil
+}
+
+// free returns the statement of the group's free slots.
+func (l *lessor) free() *int32 {
+	free := int32(l.pool.Room().Free)
+	return &free
 }
 
 // acquire waits for a slot. It denies a retry that exceeds the service's retry
@@ -120,7 +126,7 @@
 	if !ok {
 		return Response{}, err
 	}
-	return Response{Denial: denial, Wait: l.pool.ExpectedWait(request.Rank)}, nil
+	return Response{Denial: denial, Wait: l.pool.ExpectedWait(request.Rank), Free: l.free()}, nil
 }
 
 // confirm turns a pending request into a lease. It reports false when the request
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -29,6 +29,10 @@
 	// allowed in addition. Both apply only when the budget is pooled.
 	Ratio float64
 	Slack int
+	// MaxLoadAge is the age up to which a group's stated free slots count in the
+	// choice among groups. 0 means DefaultMaxLoadAge. A negative value turns the
+	// choice by free slots off: groups are then weighted by their slots.
+	MaxLoadAge time.Duration
 }
 
 // Pool grants the slots of one service's backends together with the pools on the
@@ -51,6 +55,7 @@
 	exclusions exclusions
 	// noticeCounts counts what backends stated to this host.
 	noticeCounts NoticeCounts
+	loadMetrics  LoadMetrics
 	// waiting holds the requests that wait for a slot.
 	waiting waitingRequests
 	// lessors maps a GroupID to its *lessor.
@@ -72,7 +77,7 @@
 	if config.Pool.Strategy == nil {
 		config.Pool.Strategy = pool.LowestCost{}
 	}
-	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms, fleet: &Fleet{}}
+	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms, fleet: &Fleet{}, loadMetrics: newLoadMetrics()}
 	if p.clock == nil {
 		p.clock = mustardramp.SystemClock{}
 	}
@@ -309,6 +314,7 @@
 	held, err := l.acquire(ctx, p.clock.Now(), local)
 	demand.AlreadyCounted = true
 	p.recordWait(g.id, demand.Rank, l.pool.ExpectedWait(demand.Rank))
+	p.recordRoom(g, l.free())
 	if err != nil {
 		return nil, err
 	}
@@ -338,6 +344,7 @@
 		return nil, err
 	}
 	p.recordWait(g.id, demand.Rank, response.Wait)
+	p.recordRoom(g, response.Free)
 	if response.Denial != nil {
 		peer.forget(request.Number)
 		denial := *response.Denial
@@ -418,6 +425,7 @@
 	for _, l := range p.allLessors() {
 		l.expire(now)
 	}
+	p.recordImbalance(now)
 	var group errgroup.Group
 	p.peers.Range(func(_, value any) bool {
 		peer := value.(*peer)
--- a/internal/tally/reading.go
+++ b/internal/tally/reading.go
@@ -56,9 +56,9 @@
 		Rank:    key.Rank,
 		Caller:  key.Caller,
 		Count:   c.latency.Count(),
-		Latency: summarize(c.latency),
-		Wait:    summarize(c.wait),
-		Size:    summarize(c.size),
+		Latency: Summarize(c.latency),
+		Wait:    Summarize(c.wait),
+		Size:    Summarize(c.size),
 	}
 	for kind := range c.refused {
 		if n := c.refused[kind].Load(); n > 0 {
@@ -68,7 +68,8 @@
 	return r
 }
 
-func summarize(h metrics.Histogram) Summary {
+// Summarize returns the summary of a histogram.
+func Summarize(h metrics.Histogram) Summary {
 	snapshot := h.Snapshot()
 	p := snapshot.Percentiles([]float64{0.5, 0.9, 0.99})
 	return Summary{Mean: snapshot.Mean(), P50: p[0], P90: p[1], P99: p[2], Max: snapshot.Max()}
--- a/pkg/cmd/entry/serve/serve.go
+++ b/pkg/cmd/entry/serve/serve.go
@@ -24,6 +24,7 @@
 	RefusalBytes   mustardramp.Bytes `help:"Memory for refusals, in bytes." default:"16777216" env:"MUSTARDRAMP_REFUSAL_BYTES"`
 	LinkRate       mustardramp.Bytes `help:"Rate of the host's own link each way, in bytes a second; 0 paces no bodies." default:"0" env:"MUSTARDRAMP_LINK_RATE"`
 	StopDelay      time.Duration     `help:"Time from the fall of readiness to the end of accepting, for the balancer." default:"5s" env:"MUSTARDRAMP_STOP_DELAY"`
+	LoadAge        time.Duration     `help:"Age up to which the free slots that other hosts stated count in the choice of a backend; 0 ignores them." default:"5s" env:"MUSTARDRAMP_LOAD_AGE"`
 	Grace          time.Duration     `help:"Time from a signal to stop until the process is ended from outside; 0 if it is not." default:"0s" env:"MUSTARDRAMP_GRACE"`
 
 	factory *factory.Factory
@@ -73,6 +74,10 @@
 		LinkRate:      o.LinkRate,
 		StopDelay:     o.StopDelay,
 		Grace:         o.Grace,
+		MaxLoadAge:    o.LoadAge,
+	}
+	if o.LoadAge <= 0 {
+		config.MaxLoadAge = -1
 	}
 	check.Grace("--grace", o.Grace, "--stop-delay", o.StopDelay)
 	check.Secret("--announce-token", o.AnnounceToken)
