Replay failure periods that last and ones that change

Periods now outlast the replay (case failing) or follow a random source of each backend (case changing).

--- a/internal/lease/even_test.go
+++ b/internal/lease/even_test.go
@@ -30,11 +30,12 @@
 		// choice by free slots, and slack what is allowed beyond it.
 		ratio, slack float64
 	}{
-		"calm":    {ratio: 1, slack: 0.001},
-		"swing":   {ratio: 1, slack: 0.001},
-		"burst":   {ratio: 1, slack: 0.002},
-		"failing": {ratio: 0.4},
-		"uneven":  {ratio: 0.4},
+		"calm":     {ratio: 1, slack: 0.001},
+		"swing":    {ratio: 1, slack: 0.001},
+		"burst":    {ratio: 1, slack: 0.002},
+		"failing":  {ratio: 0.4},
+		"changing": {ratio: 1, slack: 0.003},
+		"uneven":   {ratio: 0.4},
 	}
 	sizes, seeds := []evenSize{{hosts: 164, backends: 61, slots: 6, age: time.Second}}, []uint64{7}
 	if *everyEvenSize {
@@ -75,17 +76,21 @@
 	burst float64
 	// failing is the share of backends in a failure period.
 	failing float64
+	// period is the mean time of failure periods; 0 means that they outlast the
+	// replay.
+	period time.Duration
 	// slowPart multiplies the time of the work at the backends of the first part of
 	// each region; 0 means 1.
 	slowPart float64
 }
 
 var evenPatterns = map[string]evenPattern{
-	"calm":    {load: 0.6},
-	"swing":   {load: 0.6, swing: 0.55},
-	"burst":   {load: 0.35, burst: 2.4},
-	"failing": {load: 0.35, failing: 1.0 / 3},
-	"uneven":  {load: 0.6, slowPart: 2},
+	"calm":     {load: 0.6},
+	"swing":    {load: 0.6, swing: 0.55},
+	"burst":    {load: 0.35, burst: 2.4},
+	"failing":  {load: 0.35, failing: 1.0 / 3},
+	"changing": {load: 0.35, failing: 1.0 / 3, period: 7 * time.Second},
+	"uneven":   {load: 0.6, slowPart: 2},
 }
 
 // evenSize is the size of a fleet and the age of what its hosts learn of groups.
@@ -151,8 +156,6 @@
 	// evenTransit is the time in Acquire that counts as transit, not as a wait.
 	evenTransit = 20 * time.Millisecond
 	evenQueue   = 4
-	// evenFailurePeriod is the mean time of a failure period in seconds.
-	evenFailurePeriod = 7.0
 )
 
 // replayEven returns the figures of a load pattern.
@@ -169,9 +172,10 @@
 		for i := range size.backends {
 			b := &evenBackend{
 				standing: standing(i, evenPlaces[i%4], mustardramp.Slots(size.slots)),
-				slowness: 0.6 + 0.8*r.random.Float64(), failing: r.random.Float64() < pattern.failing,
-				slots: make(chan struct{}, size.slots),
+				slowness: 0.6 + 0.8*r.random.Float64(),
+				slots:    make(chan struct{}, size.slots),
 			}
+			b.failing = r.random.Float64() < pattern.failing
 			if parts := (size.backends/2 + groupSize - 1) / groupSize; pattern.slowPart > 0 && partOf(b.standing.Backend.ID, parts) == 0 {
 				b.slowness *= pattern.slowPart
 			}
@@ -196,8 +200,8 @@
 			r.net.pools[h.Name] = p
 		}
 		defer r.net.close()
-		if pattern.failing > 0 {
-			r.alternate()
+		if pattern.period > 0 {
+			r.alternate(seed)
 		}
 		r.spreadPressure()
 		r.sample()
@@ -206,7 +210,7 @@
 			t.Fatal(err)
 		}
 		for _, b := range r.order {
-			if time.Duration(b.healthy)*evenSample >= evenFailurePeriod*time.Second/2 {
+			if time.Duration(b.healthy)*evenSample >= 3*time.Second {
 				r.result.arrivals = append(r.result.arrivals, b.arrivals*b.slowness/b.healthy)
 			}
 		}
@@ -318,18 +322,16 @@
 }
 
 // alternate starts and ends the failure periods of the backends.
-func (r *evenReplay) alternate() {
-	for _, b := range r.order {
+func (r *evenReplay) alternate(seed uint64) {
+	for i, b := range r.order {
+		random := rand.New(rand.NewPCG(seed, uint64(3+i)))
 		r.group.Go(func() error {
 			for time.Now().Before(r.until) {
-				r.mu.Lock()
-				mean := evenFailurePeriod
+				mean := float64(r.period)
 				if !b.failing {
 					mean *= (1 - r.failing) / r.failing
 				}
-				period := time.Duration(r.random.ExpFloat64() * mean * float64(time.Second))
-				r.mu.Unlock()
-				time.Sleep(min(period, time.Until(r.until)))
+				time.Sleep(min(time.Duration(random.ExpFloat64()*mean), time.Until(r.until)))
 				r.mu.Lock()
 				b.failing = !b.failing
 				r.mu.Unlock()
