Count the free slots of a group at most every 50 ms

Cause: a grant counted the free slots anew, with the risk of each backend. A lease at the own host took 3,130 ns instead of 2,070 ns (medians of three runs of BenchmarkAcquireLocal/services=1, one core).

Change: a keeper repeats its last count for 50 ms, and services with one group record nothing. The same benchmark takes 2,835 ns, against 2,171 ns without the choice by free slots.

--- a/internal/lease/lessor.go
+++ b/internal/lease/lessor.go
@@ -24,6 +24,10 @@
 	// exhaustedLoggedAt is when an exhausted retry budget was last logged, in Unix
 	// nanoseconds.
 	exhaustedLoggedAt atomic.Int64
+	// freeSlots is the last statement of free slots, and freeCountedAt its time in
+	// Unix nanoseconds.
+	freeSlots     atomic.Int32
+	freeCountedAt atomic.Int64
 
 	mu sync.Mutex
 	// leases holds the pending requests and the granted leases.
@@ -63,18 +67,26 @@
 	slot, err := l.acquire(ctx, now(), request.demand(now()))
 	if err != nil {
 		l.forget(key)
-		return l.denied(request, err)
+		return l.denied(request, err, now())
 	}
 	if !l.confirm(key, entry, slot, now()) {
 		slot.Release(mustardramp.ResultAbandoned, 0)
 		return Response{}, context.Canceled
 	}
-	return Response{Backend: slot.Backend(), Wait: l.pool.ExpectedWait(request.Rank), Free: l.free()}, nil
+	return Response{Backend: slot.Backend(), Wait: l.pool.ExpectedWait(request.Rank), Free: l.free(now())}, nil
 }
 
+// freeInterval is the time for which a statement of free slots is repeated. Counting
+// them takes about 1 us, and the hosts take the mean over seconds.
+const freeInterval = 50 * time.Millisecond
+
 // free returns the statement of the group's free slots.
-func (l *lessor) free() *int32 {
-	free := int32(l.pool.Room().Free)
+func (l *lessor) free(now time.Time) *int32 {
+	last := l.freeCountedAt.Load()
+	if now.UnixNano()-last >= int64(freeInterval) && l.freeCountedAt.CompareAndSwap(last, now.UnixNano()) {
+		l.freeSlots.Store(int32(l.pool.Room().Free))
+	}
+	free := l.freeSlots.Load()
 	return &free
 }
 
@@ -121,12 +133,12 @@
 }
 
 // denied returns the response for a denial, or the error when err is not a denial.
-func (l *lessor) denied(request *Request, err error) (Response, error) {
+func (l *lessor) denied(request *Request, err error, now time.Time) (Response, error) {
 	denial, ok := err.(*mustardramp.Denial)
 	if !ok {
 		return Response{}, err
 	}
-	return Response{Denial: denial, Wait: l.pool.ExpectedWait(request.Rank), Free: l.free()}, nil
+	return Response{Denial: denial, Wait: l.pool.ExpectedWait(request.Rank), Free: l.free(now)}, nil
 }
 
 // confirm turns a pending request into a lease. It reports false when the request
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -314,7 +314,7 @@
 	held, err := l.acquire(ctx, p.clock.Now(), local)
 	demand.AlreadyCounted = true
 	p.recordWait(g.id, demand.Rank, l.pool.ExpectedWait(demand.Rank))
-	p.recordRoom(g, l.free())
+	p.recordRoom(g, l.free(p.clock.Now()))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lease/room.go
+++ b/internal/lease/room.go
@@ -85,7 +85,7 @@
 
 // recordRoom stores a statement of the free slots of a group.
 func (p *Pool) recordRoom(g *group, free *int32) {
-	if free == nil || p.maxLoadAge() == 0 {
+	if free == nil || p.maxLoadAge() == 0 || len(p.plan.Load().groups) < 2 {
 		return
 	}
 	p.groupWaits(g.id).room.observe(float64(*free)/float64(g.weight()), p.clock.Now())
