Take statements of free slots from first keepers alone

Cause: a host that grants slots in place of an unreachable keeper knows few leases of the group. It would state that the group is empty and draw requests to it.

Change: only the first keeper of a group states free slots.

Test: TestBackupKeeperStatesNoRoom failed before (keeper 1: got a statement true, want false).

--- a/internal/lease/loadmetrics.go
+++ b/internal/lease/loadmetrics.go
@@ -62,8 +62,7 @@
 func (p *Pool) recordImbalance(now time.Time) {
 	plan := p.plan.Load()
 	p.lessors.Range(func(id, l any) bool {
-		g := plan.byID[id.(GroupID)]
-		if g != nil && len(g.keepers) > 0 && g.keepers[0] == p.config.Holder.Host {
+		if p.isFirstKeeper(plan.byID[id.(GroupID)]) {
 			p.loadMetrics.Backends.Update(int64(l.(*lessor).pool.Room().Imbalance / imbalanceUnit))
 		}
 		return true
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -112,7 +112,7 @@
 		l := value.(*lessor)
 		slack := 0.0
 		g := plan.byID[id.(GroupID)]
-		if g != nil && len(g.keepers) > 0 && g.keepers[0] == p.config.Holder.Host {
+		if p.isFirstKeeper(g) {
 			slack = float64(p.config.Slack) * slackShare / float64(len(plan.groups))
 		}
 		l.window.Configure(p.ratio(), slack)
@@ -121,6 +121,12 @@
 	})
 }
 
+// isFirstKeeper reports whether this host is the first keeper of a group, which may
+// be nil. Other hosts that grant its slots do not know most of its leases.
+func (p *Pool) isFirstKeeper(g *group) bool {
+	return g != nil && len(g.keepers) > 0 && g.keepers[0] == p.config.Holder.Host
+}
+
 // ratio returns the allowed retries per request.
 func (p *Pool) ratio() float64 {
 	if p.config.Ratio > 0 {
@@ -314,7 +320,9 @@
 	held, err := l.acquire(ctx, p.clock.Now(), local)
 	demand.AlreadyCounted = true
 	p.recordWait(g.id, demand.Rank, l.pool.ExpectedWait(demand.Rank))
-	p.recordRoom(g, l.free(p.clock.Now()))
+	if p.isFirstKeeper(g) {
+		p.recordRoom(g, l.free(p.clock.Now()))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -459,7 +467,11 @@
 	if p.plan.Load().byID[request.Group] == nil {
 		return Response{}, ErrPeer.New("no backend of group %s/%d is known here", request.Group.Region, request.Group.Part)
 	}
-	return p.lessor(request.Group).grant(ctx, p.clock.Now, &request)
+	response, err := p.lessor(request.Group).grant(ctx, p.clock.Now, &request)
+	if !p.isFirstKeeper(p.plan.Load().byID[request.Group]) {
+		response.Free = nil
+	}
+	return response, err
 }
 
 // ApplyReport applies the report of another host.
--- a/internal/lease/room_test.go
+++ b/internal/lease/room_test.go
@@ -110,3 +110,23 @@
 		}
 	})
 }
+
+// TestBackupKeeperStatesNoRoom guards against a backup keeper that knows few of the
+// leases of a group, states that the group is empty and so draws requests to it.
+func TestBackupKeeperStatesNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newNetwork(6, standing(1, kolA, 4), standing(2, silA, 4))
+		defer net.close()
+		g := net.pools["host-0"].plan.Load().groups[0]
+		for i, keeper := range g.keepers[:2] {
+			request := Request{Service: "patha", Group: g.id, Holder: Holder{Host: "host-0"}, Number: Number(i), Rank: mustardramp.Bulk}
+			response, err := net.pools[keeper].Grant(t.Context(), request)
+			if err != nil || response.Denial != nil {
+				t.Fatalf("got %v, %v, want a lease", response.Denial, err)
+			}
+			if got, want := response.Free != nil, i == 0; got != want {
+				t.Errorf("keeper %d: got a statement %v, want %v", i, got, want)
+			}
+		}
+	})
+}
