--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -29,6 +29,10 @@
 	// allowed in addition. Both apply only when the budget is pooled.
 	Ratio float64
 	Slack int
+	// MaxLoadAge is the age up to which a group's stated free slots count in the
+	// choice among groups. 0 means DefaultMaxLoadAge. A negative value turns the
+	// choice by free slots off: groups are then weighted by their slots.
+	MaxLoadAge time.Duration
 }
 
 // Pool grants the slots of one service's backends together with the pools on the
@@ -51,6 +55,7 @@
 	exclusions exclusions
 	// noticeCounts counts what backends stated to this host.
 	noticeCounts NoticeCounts
+	loadMetrics  LoadMetrics
 	// waiting holds the requests that wait for a slot.
 	waiting waitingRequests
 	// lessors maps a GroupID to its *lessor.
@@ -72,7 +77,7 @@
 	if config.Pool.Strategy == nil {
 		config.Pool.Strategy = pool.LowestCost{}
 	}
-	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms, fleet: &Fleet{}}
+	p := &Pool{config: config, clock: config.Pool.Clock, terms: config.Pool.Terms, fleet: &Fleet{}, loadMetrics: newLoadMetrics()}
 	if p.clock == nil {
 		p.clock = mustardramp.SystemClock{}
 	}
@@ -107,7 +112,7 @@
 		l := value.(*lessor)
 		slack := 0.0
 		g := plan.byID[id.(GroupID)]
-		if g != nil && len(g.keepers) > 0 && g.keepers[0] == p.config.Holder.Host {
+		if p.isFirstKeeper(g) {
 			slack = float64(p.config.Slack) * slackShare / float64(len(plan.groups))
 		}
 		l.window.Configure(p.ratio(), slack)
@@ -116,6 +121,12 @@
 	})
 }
 
+// isFirstKeeper reports whether this host is the first keeper of a group, which may
+// be nil. Other hosts that grant its slots do not know most of its leases.
+func (p *Pool) isFirstKeeper(g *group) bool {
+	return g != nil && len(g.keepers) > 0 && g.keepers[0] == p.config.Holder.Host
+}
+
 // ratio returns the allowed retries per request.
 func (p *Pool) ratio() float64 {
 	if p.config.Ratio > 0 {
@@ -309,6 +320,9 @@
 	held, err := l.acquire(ctx, p.clock.Now(), local)
 	demand.AlreadyCounted = true
 	p.recordWait(g.id, demand.Rank, l.pool.ExpectedWait(demand.Rank))
+	if p.isFirstKeeper(g) {
+		p.recordRoom(g, l.free(p.clock.Now()))
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -338,6 +352,7 @@
 		return nil, err
 	}
 	p.recordWait(g.id, demand.Rank, response.Wait)
+	p.recordRoom(g, response.Free)
 	if response.Denial != nil {
 		peer.forget(request.Number)
 		denial := *response.Denial
@@ -418,6 +433,7 @@
 	for _, l := range p.allLessors() {
 		l.expire(now)
 	}
+	p.recordImbalance(now)
 	var group errgroup.Group
 	p.peers.Range(func(_, value any) bool {
 		peer := value.(*peer)
@@ -451,7 +467,11 @@
 	if p.plan.Load().byID[request.Group] == nil {
 		return Response{}, ErrPeer.New("no backend of group %s/%d is known here", request.Group.Region, request.Group.Part)
 	}
-	return p.lessor(request.Group).grant(ctx, p.clock.Now, &request)
+	response, err := p.lessor(request.Group).grant(ctx, p.clock.Now, &request)
+	if !p.isFirstKeeper(p.plan.Load().byID[request.Group]) {
+		response.Free = nil
+	}
+	return response, err
 }
 
 // ApplyReport applies the report of another host.
--- a/pkg/cmd/entry/serve/serve.go
+++ b/pkg/cmd/entry/serve/serve.go
@@ -24,6 +24,7 @@
 	RefusalBytes   mustardramp.Bytes `help:"Memory for refusals, in bytes." default:"16777216" env:"MUSTARDRAMP_REFUSAL_BYTES"`
 	LinkRate       mustardramp.Bytes `help:"Rate of the host's own link each way, in bytes a second; 0 paces no bodies." default:"0" env:"MUSTARDRAMP_LINK_RATE"`
 	StopDelay      time.Duration     `help:"Time from the fall of readiness to the end of accepting, for the balancer." default:"5s" env:"MUSTARDRAMP_STOP_DELAY"`
+	LoadAge        time.Duration     `help:"Age up to which the free slots that other hosts stated count in the choice of a backend; 0 ignores them." default:"5s" env:"MUSTARDRAMP_LOAD_AGE"`
 	Grace          time.Duration     `help:"Time from a signal to stop until the process is ended from outside; 0 if it is not." default:"0s" env:"MUSTARDRAMP_GRACE"`
 	Pipeline       int               `help:"Pipelined GET and HEAD requests of one connection in plain text that may be in progress, in requests; 1 runs one after the other." default:"4" env:"MUSTARDRAMP_PIPELINE"`
 
@@ -75,6 +76,10 @@
 		StopDelay:     o.StopDelay,
 		Grace:         o.Grace,
 		Pipeline:      o.Pipeline,
+		MaxLoadAge:    o.LoadAge,
+	}
+	if o.LoadAge <= 0 {
+		config.MaxLoadAge = -1
 	}
 	check.Grace("--grace", o.Grace, "--stop-delay", o.StopDelay)
 	check.Pipeline("--pipeline", o.Pipeline)
