Serve requests that can meet their target first under lasting overload

Cause: the queue serves the oldest request first. While more work comes than the slots can serve, each request waits until just before its deadline, so that nearly all answers miss the target. The number of answers is bound by the slots either way.

Change: once a rank's queue has not been empty for four times the wait that the target allows, requests that can still meet their target go before those that cannot, in the order of ranks and callers as before. A shorter burst is served oldest first, since all of it can be served.

--- a/internal/pool/core.go
+++ b/internal/pool/core.go
@@ -235,7 +235,7 @@
 	t := &Ticket{demand: demand, wake: make(chan struct{}, 1)}
 	t.item = queue.Item[*Ticket]{
 		Value: t, Rank: demand.Rank, Caller: demand.Caller,
-		Added: now, Expiry: c.expiry(now, &demand),
+		Added: now, Expiry: c.expiry(now, &demand), OnTime: c.latestOnTimeStart(&demand),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/pool/wait.go
+++ b/internal/pool/wait.go
@@ -71,6 +71,21 @@
 	return end
 }
 
+// onTimeWorkFactor is the multiple of the mean slot time that is reserved for the work
+// of a request that is to meet its target. Half of the requests take longer than the
+// mean, few of them longer than this.
+const onTimeWorkFactor = 1.5
+
+// latestOnTimeStart returns the latest start that lets the demand meet its target, or
+// zero if it has none.
+func (c *Core) latestOnTimeStart(demand *mustardramp.Demand) time.Time {
+	if demand.Target.IsZero() {
+		return time.Time{}
+	}
+	work := onTimeWorkFactor * float64(c.meanSlotTimes[demand.Rank].Load())
+	return demand.Target.Add(-time.Duration(work))
+}
+
 // ExpectedWait returns the estimated time in which the queue of a rank would empty,
 // or 0 if it is unknown. A request of a typical caller waits for about this
 // time.
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -48,6 +48,9 @@
 	Added time.Time
 	// Expiry is the latest time at which starting the request is useful.
 	Expiry time.Time
+	// OnTime is the latest time of a start that lets the request meet its target, or
+	// zero if it has none.
+	OnTime time.Time
 
 	callerQueue *callerQueue[T]
 	charge      Charge
@@ -63,6 +66,11 @@
 	debited bool
 }
 
+// isOnTime reports whether the request meets its target if it starts now.
+func (i *Item[T]) isOnTime(now time.Time) bool {
+	return i.OnTime.IsZero() || !now.After(i.OnTime)
+}
+
 // Charge returns the charge of an item that Next returned.
 func (i *Item[T]) Charge() Charge {
 	return i.charge
@@ -74,6 +82,26 @@
 	items  []*Item[T]
 }
 
+// lastingOverload is how long a queue must not have been empty for its overload to count
+// as lasting, as a multiple of the wait that the target of a request allows. A burst is
+// worked off sooner, and all its requests can be served, some of them late.
+const lastingOverload = 4
+
+// allowedWait returns how long the request may wait and meet its target.
+func (i *Item[T]) allowedWait() time.Duration {
+	return max(0, i.OnTime.Sub(i.Added))
+}
+
+// firstOnTime returns the oldest request that meets its target if it starts now, or nil.
+func (cq *callerQueue[T]) firstOnTime(now time.Time) *Item[T] {
+	for _, item := range cq.items {
+		if item.isOnTime(now) {
+			return item
+		}
+	}
+	return nil
+}
+
 // rankQueue holds the requests of one rank.
 type rankQueue[T any] struct {
 	terms Terms
@@ -84,6 +112,8 @@
 	// first.
 	rotation []*callerQueue[T]
 	len      int
+	// busySince is when the rank last had no waiting requests.
+	busySince time.Time
 	// credit is the slot time that the rank is owed.
 	credit time.Duration
 	// expectedTime is the slot time of one request of the rank, as last given to
@@ -120,8 +150,8 @@
 }
 
 // Push adds an item. If its rank is full, the caller with the most waiting
-// requests loses its newest one, which may be the item itself; Push returns the
-// evicted item.
+// requests loses its newest one, which may be the item itself, or under lasting
+// overload its oldest one if that has missed its target. Push returns the evicted item.
 func (q *Queue[T]) Push(item *Item[T]) (evicted *Item[T]) {
 	rq := &q.ranks[item.Rank]
 	rq.push(item)
@@ -130,6 +160,9 @@
 	}
 	longest := rq.longest(item.callerQueue)
 	evicted = longest.items[len(longest.items)-1]
+	if oldest := longest.items[0]; !oldest.isOnTime(item.Added) && rq.isOverloadLasting(item.Added, oldest) {
+		evicted = oldest
+	}
 	rq.remove(evicted)
 	return evicted
 }
@@ -281,6 +314,9 @@
 }
 
 func (rq *rankQueue[T]) push(item *Item[T]) {
+	if rq.len == 0 {
+		rq.busySince = item.Added
+	}
 	cq := rq.callers[item.Caller]
 	if cq == nil {
 		cq = &callerQueue[T]{caller: item.Caller}
@@ -327,15 +363,16 @@
 const ExpediteWithin = 400 * time.Millisecond
 
 // expedite moves the caller queue whose oldest item expires first to the front,
-// if that item expires within ExpediteWithin.
+// if that item expires within ExpediteWithin. Under lasting overload it must not have
+// missed its target.
 func (rq *rankQueue[T]) expedite(now time.Time) {
 	first := -1
 	for i, cq := range rq.rotation {
-		expiry := cq.items[0].Expiry
-		if expiry.Sub(now) > ExpediteWithin || now.After(expiry) {
+		oldest := cq.items[0]
+		if oldest.Expiry.Sub(now) > ExpediteWithin || now.After(oldest.Expiry) || !oldest.isOnTime(now) && rq.isOverloadLasting(now, oldest) {
 			continue
 		}
-		if first < 0 || expiry.Before(rq.rotation[first].items[0].Expiry) {
+		if first < 0 || oldest.Expiry.Before(rq.rotation[first].items[0].Expiry) {
 			first = i
 		}
 	}
@@ -346,10 +383,26 @@
 	rq.rotation = slices.Insert(slices.Delete(rq.rotation, first, first+1), 0, cq)
 }
 
+// isOverloadLasting reports whether the rank has been overloaded for so long that
+// requests that miss their target make as many later ones miss theirs.
+func (rq *rankQueue[T]) isOverloadLasting(now time.Time, item *Item[T]) bool {
+	return now.Sub(rq.busySince) > lastingOverload*item.allowedWait()
+}
+
 // takeNext offers the oldest item of each caller in turn, starting with one
-// that is about to expire.
+// that is about to expire. Under lasting overload, items that have missed their target
+// come after all others.
 func (rq *rankQueue[T]) takeNext(now time.Time, accept func(*Item[T]) bool, onExpire func(*Item[T])) *Item[T] {
 	rq.expedite(now)
+	for _, cq := range rq.rotation {
+		item := cq.firstOnTime(now)
+		if item == nil || !rq.isOverloadLasting(now, item) || now.After(item.Expiry) || !accept(item) {
+			continue
+		}
+		rq.remove(item)
+		rq.moveToBack(cq)
+		return item
+	}
 	for i := 0; i < len(rq.rotation); {
 		cq := rq.rotation[i]
 		item := cq.items[0]
