End the test of the pipelining server when its requests run in turn

Cause: with a listener that is not connected, the backend of the test waited forever and the test hung instead of failing.

Change: the backend stops waiting when its request is canceled. Seen to fail with Serve on the plain listener: "i/o timeout", want a complete answer.

--- a/internal/entry/pipeline_test.go
+++ b/internal/entry/pipeline_test.go
@@ -4,7 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -16,12 +16,17 @@
 	for name, requests := range map[string]int{"default": 0, "turned off": 1} {
 		t.Run(name, func(t *testing.T) {
 			const count = 3
-			var all sync.WaitGroup
-			all.Add(count)
+			var begun atomic.Int64
+			all := make(chan struct{})
 			backend := startBackend(t, func(w http.ResponseWriter, r *http.Request) {
-				all.Done()
+				if begun.Add(1) == count {
+					close(all)
+				}
 				if requests == 0 {
-					all.Wait()
+					select {
+					case <-all:
+					case <-r.Context().Done():
+					}
 				}
 				_, _ = io.WriteString(w, r.URL.Path)
 			})
