Close a pipelined connection only with the answer to its last request

What callers would see: a host that drains closed the connection with the answer to the next request, while later ones of the connection were in progress at backends; their answers were lost at every planned stop.

Cause: the handler adds Connection: close while it drains, without regard to pipelined requests.

Change: it asks internal/pipeline first, which names the last request in progress and starts no further one.

TestDrainingHostLosesPipelinedRequests failed before: answer 1 closed the connection, answer 2 was an unexpected EOF.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/mustardramp/mustardramp"
 	"github.com/mustardramp/mustardramp/internal/callerlimit"
 	"github.com/mustardramp/mustardramp/internal/pacing"
+	"github.com/mustardramp/mustardramp/internal/pipeline"
 	"github.com/mustardramp/mustardramp/internal/refusal"
 	"github.com/mustardramp/mustardramp/internal/retry"
 	"github.com/mustardramp/mustardramp/pkg/contract"
@@ -210,7 +211,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.draining.Load() {
+	if h.draining.Load() && pipeline.MayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	x := exchange{
--- a/internal/entry/pipeline_test.go
+++ b/internal/entry/pipeline_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,3 +53,40 @@
 		})
 	}
 }
+
+// TestDrainingHostLosesPipelinedRequests guards against a host that is draining and closes
+// a connection with the answer to one request while later ones, which it has passed on to
+// backends, are in progress.
+func TestDrainingHostLosesPipelinedRequests(t *testing.T) {
+	const count = 3
+	var all sync.WaitGroup
+	all.Add(count)
+	first := make(chan struct{})
+	var begun sync.Once
+	backend := startBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		begun.Do(func() { close(first) })
+		all.Done()
+		all.Wait()
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	s := startServerFixture(t, newFixture(t, backend), 0, func(*Server) {})
+	conn, reader := s.dial(t)
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	const request = "GET /plain/a HTTP/1.1\r\nHost: mohor.example\r\n\r\n"
+	_, _ = io.WriteString(conn, request)
+	<-first
+	s.handler.draining.Store(true)
+	_, _ = io.WriteString(conn, strings.Repeat(request, count-1))
+	for i := range count {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("answer %d: got %v, want a complete one", i, err)
+		}
+		if got := readBody(t, response); got != "/plain/a" {
+			t.Errorf("answer %d: got %q, want /plain/a", i, got)
+		}
+		if got, want := response.Close, i == count-1; got != want {
+			t.Errorf("answer %d: closes the connection: got %t, want %t", i, got, want)
+		}
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,7 +100,10 @@
 		return listener
 	}
 	pipelined := pipeline.NewListener(listener, pipeline.Limits{Requests: s.Pipeline})
-	follow := s.server.ConnState
+	follow, attach := s.server.ConnState, s.server.ConnContext
+	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return pipelined.ConnContext(attach(ctx, conn), conn)
+	}
 	s.server.ConnState = func(conn net.Conn, state http.ConnState) {
 		follow(conn, state)
 		pipelined.ConnState(conn, state)
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -65,6 +65,9 @@
 	callerGone bool
 	// isEnding is true if the connection closes after the requests in progress.
 	isEnding bool
+	// isLastNamed is true once the server was told which request is the last. No other
+	// is started then.
+	isLastNamed bool
 }
 
 func newConn(l *Listener, inner net.Conn) net.Conn {
@@ -277,7 +280,7 @@
 
 // startRequests starts pending requests within the limits.
 func (c *conn) startRequests() {
-	for !c.stopped && !c.isEnding && !c.callerGone && len(c.turns) > 0 && len(c.turns) < c.listener.limits.Requests {
+	for !c.stopped && !c.isEnding && !c.isLastNamed && !c.callerGone && len(c.turns) > 0 && len(c.turns) < c.listener.limits.Requests {
 		end := bytes.Index(c.pending, headEnd)
 		if end < 0 {
 			return
@@ -299,6 +302,18 @@
 	}
 }
 
+// endsWith reports whether no request after that of the stream is in progress. If so, none
+// is started any more.
+func (c *conn) endsWith(s *stream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.turns); n > 0 && c.turns[n-1] != s {
+		return false
+	}
+	c.isLastNamed = true
+	return true
+}
+
 // hasTurn reports whether the stream writes to the caller directly.
 func (c *conn) hasTurn(s *stream) bool {
 	if len(c.turns) == 0 {
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -187,6 +187,26 @@
 	l.internalCount--
 }
 
+// streamKey is the context key of the stream of a request.
+type streamKey struct{}
+
+// ConnContext adds the connection to the context of its requests, for MayClose. It is
+// the http.Server.ConnContext hook.
+func (l *Listener) ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if s, ok := c.(*stream); ok {
+		return context.WithValue(ctx, streamKey{}, s)
+	}
+	return ctx
+}
+
+// MayClose reports whether the answer to a request may close its connection: no request
+// after it is in progress, whose answer would be lost. If so, no further request of the
+// connection is started.
+func MayClose(ctx context.Context) bool {
+	s, ok := ctx.Value(streamKey{}).(*stream)
+	return !ok || s.conn.endsWith(s)
+}
+
 // ConnState notes the end of an answer. It is the http.Server.ConnState hook.
 func (l *Listener) ConnState(c net.Conn, state http.ConnState) {
 	s, ok := c.(*stream)
