Ask near hosts first for the votes on a keeper of a quota

Cause: the votes on the 75 keepers of a deployment with 99 hosts are renewed every 2 s and were asked in rendezvous order, half of them across regions.

Change: of equal votes, those of the own zone and region are asked first. Who wins is decided by the majority as before.

--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -43,6 +43,8 @@
 		Peers: &quota.Network{Link: e.network.Invoker},
 		Clock: e.clock,
 		Index: e.contracts.Index,
+
+		Distance: e.distanceTo,
 	})
 	e.contracts.Remote = &registry.Remote{Hosts: config.controlLinks(e.tlsConfigs.linkClient)}
 	e.contracts.Changed = e.services.apply
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -83,6 +83,8 @@
 	links     links
 	network   lease.Network
 	quotas    *quota.Pool
+	// distances maps each live entry host to its distance. It is replaced as a whole.
+	distances atomic.Pointer[map[mustardramp.HostName]mustardramp.Distance]
 	server    link.Server
 	exchange  *exchange.Exchange
 	handler   *entry.Handler
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -120,6 +120,7 @@
 	e.links.set(members)
 	live := e.liveEntryHosts(members)
 	e.services.setHosts(live)
+	e.setDistances(live)
 	e.quotas.SetHosts(namesOf(live), e.electorate(members))
 	now := e.clock.Now()
 	if err := e.roster.Expire(now, e.ejector.LastWork); err != nil {
@@ -143,6 +144,25 @@
 	return hosts
 }
 
+// setDistances records how far the live entry hosts are.
+func (e *Entry) setDistances(live []lease.Host) {
+	distances := make(map[mustardramp.HostName]mustardramp.Distance, len(live))
+	for _, h := range live {
+		distances[h.Name] = e.config.Place.To(h.Place)
+	}
+	e.distances.Store(&distances)
+}
+
+// distanceTo returns the distance of an entry host. An unknown one counts as far.
+func (e *Entry) distanceTo(host mustardramp.HostName) mustardramp.Distance {
+	if known := e.distances.Load(); known != nil {
+		if d, ok := (*known)[host]; ok {
+			return d
+		}
+	}
+	return mustardramp.AcrossRegions
+}
+
 // electorate returns this host and the other entry hosts that are members of the fleet,
 // lost ones included. A host that states that it leaves no longer counts.
 func (e *Entry) electorate(members []membership.Member) []mustardramp.HostName {
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -48,6 +48,9 @@
 	Clock mustardramp.Clock
 	// Index returns the log index of the routing table in force; nil means 0.
 	Index func() mustardramp.Index
+	// Distance returns the distance of a host; nil means that all are equally near. Votes
+	// are asked of near hosts first.
+	Distance func(mustardramp.HostName) mustardramp.Distance
 	// Draw returns random numbers from 0 to 1 and may be called concurrently; nil means
 	// rand.Float64.
 	Draw func() float64
@@ -469,12 +472,16 @@
 	}
 }
 
-// voters returns this host and the other live hosts in rendezvous order.
+// voters returns this host and the other live hosts, near ones first and those of one
+// distance in rendezvous order. A majority needs few votes of another region.
 func (p *Pool) voters(f *fleet, w mustardramp.WorkspaceName) []mustardramp.HostName {
 	order := f.order(w)
 	if i := slices.Index(order, p.config.Self.Host); i > 0 {
 		order = slices.Insert(slices.Delete(order, i, i+1), 0, p.config.Self.Host)
 	}
+	if distance := p.config.Distance; distance != nil {
+		slices.SortStableFunc(order[1:], func(a, b mustardramp.HostName) int { return cmp.Compare(distance(a), distance(b)) })
+	}
 	return order
 }
 
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -84,7 +84,7 @@
 	n.starts++
 	n.dead, n.cutSince = false, map[*node]time.Time{}
 	n.pool = New(Config{
-		Self: Candidate{n.name, n.starts}, Peers: n, Clock: system{}, Draw: n.sim.draw,
+		Self: Candidate{n.name, n.starts}, Peers: n, Clock: system{}, Draw: n.sim.draw, Distance: n.distance,
 		Index: func() mustardramp.Index {
 			n.sim.mu.Lock()
 			defer n.sim.mu.Unlock()
@@ -93,6 +93,14 @@
 	})
 }
 
+// distance tells the region of a host by its number, as newSim assigns it.
+func (n *node) distance(host mustardramp.HostName) mustardramp.Distance {
+	if int(host[len(host)-1]-'0')%2 != n.region {
+		return mustardramp.AcrossRegions
+	}
+	return mustardramp.SameZone
+}
+
 // reach returns the pool of a host after the delay of a message to it.
 func (n *node) reach(ctx context.Context, host mustardramp.HostName) (*node, *Pool, error) {
 	i := slices.IndexFunc(n.sim.nodes, func(m *node) bool { return m.name == host })
