--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -272,8 +272,10 @@
 			p.fallBack(h, now)
 		} else {
 			h.lost = false
-			h.admit(h.receive(askedAt, now, keeper, answer, len(h.waiting)))
-			if answer.RetryIn > 0 {
+			used := h.receive(askedAt, now, keeper, answer, len(h.waiting))
+			h.admit(used)
+			// An answer that admits none must not be followed by another ask at once.
+			if answer.RetryIn > 0 || used == 0 {
 				h.refuseAll()
 			}
 		}
