Test that tokens given back late stay inside the window

Cause: TestBucketGiveBack passed with the window of the bucket removed.

Change: the tokens come back after the bucket has filled again.

--- a/internal/quota/decision_test.go
+++ b/internal/quota/decision_test.go
@@ -40,14 +40,14 @@
 	q := mustardramp.Quota{Rate: 100, Burst: 90}
 	b.configure(start, q, 1)
 	b.level, b.binStart = capacity(q), start
-	used, now := 0, start
-	// Every 50 ms, half of the tokens of the step before come back.
-	back := 0
-	for now.Sub(start) < window {
-		b.giveBack(now, back)
-		n := b.take(now, 1000)
-		back = n / 2
-		used += n - back
+	// The first tokens come back unused after the bucket has filled again.
+	unused := b.take(start, 1000)
+	used, now := 0, start.Add(time.Second)
+	end := now.Add(window)
+	used += b.take(now, 1000)
+	b.giveBack(now, unused)
+	for now.Before(end) {
+		used += b.take(now, 1000)
 		now = now.Add(binLength)
 	}
 	if got, most := used, int(100*5.3)+100; got > most || got < 500 {
