Use the extra rate of the exchange for updates alone

Cause: the rate that follows the host's link was also used by summaries, which are sent as often as the budget allows.

Change: the extra rate is a limiter of its own, for records of changes, backends and hosts.

--- a/internal/exchange/budget.go
+++ b/internal/exchange/budget.go
@@ -44,8 +44,11 @@
 // budget bounds the bytes that a host sends. Over any span it sends at most the
 // rate times the span, plus what it has saved up.
 type budget struct {
-	updates        *rate.Limiter
-	summaries      *rate.Limiter
+	updates   *rate.Limiter
+	summaries *rate.Limiter
+	// extra holds further bytes for updates. Summaries may not use them: they would be
+	// sent more often, and cost processor time, without being needed.
+	extra          *rate.Limiter
 	catchUpReserve float64
 	spent          mustardramp.Bytes
 }
@@ -61,20 +64,34 @@
 	b := &budget{
 		updates:   limiter(total*(1-summaryShare), updateBurstTime),
 		summaries: limiter(total*summaryShare, summaryBurstTime),
+		extra:     limiter(0, 0),
 	}
 	b.catchUpReserve = float64(b.updates.Burst()) * catchUpReserveShare
 	return b
 }
 
+// allowExtra adds a rate for updates.
+func (b *budget) allowExtra(bytesPerSecond mustardramp.Bytes) {
+	b.extra = rate.NewLimiter(rate.Limit(bytesPerSecond), int(float64(bytesPerSecond)*updateBurstTime.Seconds()))
+}
+
 // forceSpend spends bytes that must be sent, even if they are not available yet.
 func (b *budget) forceSpend(now time.Time, n int) {
-	b.draw(now, b.updates, n)
+	extra := b.spendExtra(now, n-int(max(0, b.updates.TokensAt(now))))
+	b.draw(now, b.updates, n-extra)
+}
+
+// spendExtra spends up to n bytes of the extra rate and returns their number.
+func (b *budget) spendExtra(now time.Time, n int) int {
+	n = max(0, min(n, int(b.extra.TokensAt(now))))
+	b.draw(now, b.extra, n)
+	return n
 }
 
 // availableForUpdates returns how many bytes may be spent on changes and
 // statements.
 func (b *budget) availableForUpdates(now time.Time) float64 {
-	return max(0, b.updates.TokensAt(now)) + max(0, b.summaries.TokensAt(now))
+	return max(0, b.updates.TokensAt(now)) + max(0, b.summaries.TokensAt(now)) + max(0, b.extra.TokensAt(now))
 }
 
 // availableForSummaries returns how many bytes may be spent on summaries.
@@ -88,9 +105,10 @@
 	return max(0, b.updates.TokensAt(now)-updateReserveShare*float64(b.updates.Burst()))
 }
 
-// spendUpdates spends bytes on changes and statements, from the share of the
-// summaries once their own share is spent.
+// spendUpdates spends bytes on changes and statements: from their own share, then from
+// the extra rate, and from the share of the summaries once both are spent.
 func (b *budget) spendUpdates(now time.Time, n int) {
+	n -= b.spendExtra(now, n-int(max(0, b.updates.TokensAt(now))))
 	borrowed := min(max(0, n-int(b.updates.TokensAt(now))), int(max(0, b.summaries.TokensAt(now))))
 	b.draw(now, b.summaries, borrowed)
 	b.draw(now, b.updates, n-borrowed)
@@ -112,7 +130,7 @@
 
 // pageBytes returns how many bytes may be spent on a page of a catch-up.
 func (b *budget) pageBytes(now time.Time) int {
-	return max(0, int(b.updates.TokensAt(now)-b.catchUpReserve))
+	return max(0, int(b.updates.TokensAt(now)+b.extra.TokensAt(now)-b.catchUpReserve))
 }
 
 // requestPause returns the least time between two requests over a link. The fewer
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -49,6 +49,8 @@
 	TLS *tls.Config
 	// Rate bounds the bytes sent per second on average; 0 stands for DefaultRate.
 	Rate mustardramp.Bytes
+	// UpdateRate adds to Rate for records of changes, backends and hosts alone.
+	UpdateRate mustardramp.Bytes
 	// Log is the replicated log of a control host, and nil on entry hosts.
 	// Everything that the log has applied must have been offered before its
 	// Confirm returns.
@@ -109,6 +111,7 @@
 		e.clock = mustardramp.SystemClock{}
 	}
 	e.core = NewCore(e.now(), o.Self, o.Seeds, o.Rate)
+	e.core.Node.budget.allowExtra(o.UpdateRate)
 	link.Handle(router, methodSync, e.handleSync)
 	if o.Log != nil {
 		link.Handle(router, methodState, e.handleState)
--- a/internal/exchange/node_test.go
+++ b/internal/exchange/node_test.go
@@ -381,3 +381,29 @@
 		})
 	}
 }
+
+// TestExtraRateIsForUpdates guards against summaries that use the rate meant for records
+// of changes and backends, and against updates that wait although it has bytes left.
+func TestExtraRateIsForUpdates(t *testing.T) {
+	const extra = 30_000
+	now := time.Unix(1_000_000, 0)
+	plain, extended := newBudget(0), newBudget(0)
+	extended.allowExtra(extra)
+	for _, b := range []*budget{plain, extended} {
+		// The first reading starts the clock of the limiters.
+		b.availableForUpdates(now)
+	}
+	if got, want := extended.availableForSummaries(now), plain.availableForSummaries(now); got != want {
+		t.Errorf("summaries: got %.0f bytes, want %.0f as without the extra rate", got, want)
+	}
+	spent := int(plain.availableForUpdates(now))
+	for _, b := range []*budget{plain, extended} {
+		b.spendUpdates(now, spent)
+	}
+	if got := plain.availableForUpdates(now); got > 1 {
+		t.Errorf("without the extra rate: got %.0f bytes left, want none", got)
+	}
+	if got, want := extended.availableForUpdates(now), extra*updateBurstTime.Seconds(); got < want-1 || got > want+float64(spent) {
+		t.Errorf("got %.0f bytes left for updates, want about %.0f", got, want)
+	}
+}
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -54,8 +54,9 @@
 		Self:  config.self(membership.Entry, e.LinkAddress(), e.AdminAddress(), e.incarnation),
 		Seeds: config.seeds(),
 		TLS:   e.tlsConfigs.linkClient,
-		Rate:  exchangeRate(config.LinkRate),
 		Clock: config.Clock,
+
+		UpdateRate: updateRate(config.LinkRate),
 	})
 	e.roster.Send = e.exchange.Offer
 	e.roster.Floor = func(s mustardramp.ServiceName) mustardramp.Percent { return e.terms(s).Floor }
--- a/internal/host/exchangerate.go
+++ b/internal/host/exchangerate.go
@@ -2,26 +2,22 @@
 
 import (
 	"github.com/mustardramp/mustardramp"
-	"github.com/mustardramp/mustardramp/internal/exchange"
 )
 
 const (
-	// exchangeLinkShare is the share of an entry host's link for the records of the
-	// fleet. The default rate of 4 KiB a second is 2 % of a link of 1.6 Mbit/s; in a
-	// fleet of a hundred hosts, whose backends are replaced during changes of the
-	// configuration, it kept joined backends unknown to most hosts for over 10 s.
-	exchangeLinkShare = 1.0 / 20
-	// maxExchangeRate bounds the rate on links that are much faster than the fleet's
-	// records need.
-	maxExchangeRate mustardramp.Bytes = 32 << 10
+	// updateLinkShare is the share of an entry host's link for records of changes,
+	// backends and hosts, beyond the default rate of the exchange. In a fleet of a
+	// hundred hosts, whose backends are replaced during changes of the configuration,
+	// the default rate alone kept joined backends unknown to most hosts for over 10 s.
+	updateLinkShare = 1.0 / 20
+	// maxUpdateRate bounds the rate on links that are much faster than these records
+	// need.
+	maxUpdateRate mustardramp.Bytes = 32 << 10
 )
 
-// exchangeRate returns the bytes a second that an entry host may send to spread records,
-// for the rate of its link. A link without a rate, 0, has the default.
-func exchangeRate(link mustardramp.Bytes) mustardramp.Bytes {
-	if link <= 0 {
-		return exchange.DefaultRate
-	}
-	share := mustardramp.Bytes(exchangeLinkShare * float64(link))
-	return max(exchange.DefaultRate, min(share, maxExchangeRate))
+// updateRate returns the bytes a second that an entry host may send to spread such
+// records beyond the default rate, for the rate of its link. It is 0 for a link
+// without a rate.
+func updateRate(link mustardramp.Bytes) mustardramp.Bytes {
+	return min(mustardramp.Bytes(updateLinkShare*float64(max(0, link))), maxUpdateRate)
 }
