--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -39,11 +39,10 @@
 		return &link.Client{Address: address, TLS: e.tlsConfigs.linkClient}
 	}
 	e.quotas = quota.New(quota.Config{
-		Self:  quota.Candidate{Host: config.Name, Incarnation: e.incarnation},
-		Peers: &quota.Network{Link: e.network.Invoker},
-		Clock: e.clock,
-		Index: e.contracts.Index,
-
+		Self:     quota.Candidate{Host: config.Name, Incarnation: e.incarnation},
+		Peers:    &quota.Network{Link: e.network.Invoker},
+		Clock:    e.clock,
+		Index:    e.contracts.Index,
 		Distance: e.distanceTo,
 	})
 	e.contracts.Remote = &registry.Remote{Hosts: config.controlLinks(e.tlsConfigs.linkClient)}
@@ -51,11 +50,10 @@
 	e.ejector = ejection.New(config.Name, e.incarnation, config.Place)
 	e.ejector.Terms = e.terms
 	e.exchange = exchange.New(&e.server.Router, exchange.Options{
-		Self:  config.self(membership.Entry, e.LinkAddress(), e.AdminAddress(), e.incarnation),
-		Seeds: config.seeds(),
-		TLS:   e.tlsConfigs.linkClient,
-		Clock: config.Clock,
-
+		Self:       config.self(membership.Entry, e.LinkAddress(), e.AdminAddress(), e.incarnation),
+		Seeds:      config.seeds(),
+		TLS:        e.tlsConfigs.linkClient,
+		Clock:      config.Clock,
 		UpdateRate: updateRate(config.LinkRate),
 	})
 	e.roster.Send = e.exchange.Offer
--- a/internal/host/exchangerate.go
+++ b/internal/host/updaterate.go
@@ -1,8 +1,6 @@
 package host
 
-import (
-	"github.com/mustardramp/mustardramp"
-)
+import "github.com/mustardramp/mustardramp"
 
 const (
 	// updateLinkShare is the share of an entry host's link for records of changes,
