Name the messages of quotas as those of leases are named

Ask and Answer, verbs used as nouns, are Request and Response now, as in internal/lease. The wire format stays: fields are keyed by numbers. go test ./internal/quota passes.

--- a/internal/quota/decision_test.go
+++ b/internal/quota/decision_test.go
@@ -71,7 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			var h holder
 			now := start.Add(test.after)
-			if got := h.receive(start, now, "host-1", Answer{Kept: true, Granted: 7}, 3); got != test.admitted {
+			if got := h.receive(start, now, "host-1", Response{Kept: true, Granted: 7}, 3); got != test.admitted {
 				t.Errorf("got %d waiting requests admitted, want %d", got, test.admitted)
 			}
 			rest := 0
@@ -120,8 +120,8 @@
 	w := mustardramp.WorkspaceName("a-workspace-of-27-characters")
 	c := Candidate{"entry-zone-a-0123", 1765000000000000000}
 	for name, message := range map[string]any{
-		"ask":    Ask{Workspace: w, Host: c.Host, Want: 300, Ahead: 200, Unused: 30, Rate: 333.3, Burst: 1000, Version: 1e6},
-		"answer": Answer{Kept: true, Keeper: c.Host, Granted: 300, RetryIn: 987654321},
+		"ask":    Request{Workspace: w, Host: c.Host, Want: 300, Ahead: 200, Unused: 30, Rate: 333.3, Burst: 1000, Version: 1e6},
+		"answer": Response{Kept: true, Keeper: c.Host, Granted: 300, RetryIn: 987654321},
 		"ballot": Ballot{Workspace: w, Candidate: c, Number: 70000, Release: true, Level: 33.3},
 		"vote":   Vote{Granted: true, Holder: c.Host, Remaining: 2987654321, HasEarlier: true, Age: 2987654321, Level: 33.3},
 	} {
@@ -179,8 +179,8 @@
 	if got, want := admitted, q.Burst+slack; got != want {
 		t.Errorf("got %d requests admitted, want %d", got, want)
 	}
-	if _, err := network.Ask(t.Context(), "host-1", Ask{Workspace: "studio", Want: -1, Rate: 1}); err == nil {
-		t.Error("got an answer to an ask for less than no tokens")
+	if _, err := network.Ask(t.Context(), "host-1", Request{Workspace: "studio", Want: -1, Rate: 1}); err == nil {
+		t.Error("got an answer to a request for less than no tokens")
 	}
 	for i, p := range pools {
 		p.Close()
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -82,7 +82,7 @@
 type holder struct {
 	quota   mustardramp.Quota
 	batches []batch
-	// unused counts the tokens to give back with the next ask.
+	// unused counts the tokens to give back with the next request to the keeper.
 	unused int
 	demand demand
 	// silentUntil is the time until which this host refuses as the keeper stated.
@@ -140,7 +140,7 @@
 // receive applies the answer of a keeper that was asked at a time. It returns how many
 // of the waiting requests are admitted; the other tokens remain for later requests.
 // Tokens that arrive after their lifetime are given back.
-func (h *holder) receive(askedAt, now time.Time, keeper mustardramp.HostName, a Answer, waiting int) int {
+func (h *holder) receive(askedAt, now time.Time, keeper mustardramp.HostName, a Response, waiting int) int {
 	h.keeper, h.heardAt = keeper, now
 	h.fallbackUntil = time.Time{}
 	if a.RetryIn > 0 {
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -11,7 +11,7 @@
 
 const (
 	// renewAge is the age from which a vote is asked for again. With a step every
-	// second it is renewed every 2 s, 1 s before it ends. If that fails, the next ask
+	// second it is renewed every 2 s, 1 s before it ends. If that fails, the next request
 	// starts a campaign, which costs the request one round trip.
 	renewAge = 1500 * time.Millisecond
 	// idleAfter is the time without requests after which a keeper renews no votes.
@@ -215,12 +215,12 @@
 	k.known = true
 }
 
-// lend answers an ask of a host.
-func (k *keeper) lend(now time.Time, a *Ask) Answer {
+// lend answers the request of a host.
+func (k *keeper) lend(now time.Time, a *Request) Response {
 	k.countAsker(now, a.Host)
 	k.bucket.giveBack(now, a.Unused)
 	granted := k.bucket.take(now, a.Want)
-	answer := Answer{Kept: true}
+	answer := Response{Kept: true}
 	if granted < a.Want {
 		answer.RetryIn = k.silence()
 	} else {
--- a/internal/quota/network.go
+++ b/internal/quota/network.go
@@ -23,11 +23,11 @@
 
 // Serve registers the handlers for the calls of other hosts.
 func Serve(router *link.Router, p *Pool) {
-	link.Handle(router, methodAsk, func(ctx context.Context, ask Ask) (Answer, error) {
-		if ask.Want < 0 || ask.Ahead < 0 || ask.Unused < 0 || !(ask.Rate > 0) || ask.Rate > maxRate || ask.Burst < 0 {
-			return Answer{}, ErrAsk.New("workspace %q: want %d, ahead %d, unused %d, rate %g, burst %d", ask.Workspace, ask.Want, ask.Ahead, ask.Unused, ask.Rate, ask.Burst)
+	link.Handle(router, methodAsk, func(ctx context.Context, request Request) (Response, error) {
+		if request.Want < 0 || request.Ahead < 0 || request.Unused < 0 || !(request.Rate > 0) || request.Rate > maxRate || request.Burst < 0 {
+			return Response{}, ErrAsk.New("workspace %q: want %d, ahead %d, unused %d, rate %g, burst %d", request.Workspace, request.Want, request.Ahead, request.Unused, request.Rate, request.Burst)
 		}
-		return p.Answer(ctx, ask), nil
+		return p.Answer(ctx, request), nil
 	})
 	link.Handle(router, methodVote, func(_ context.Context, ballot Ballot) (Vote, error) {
 		return p.Vote(ballot), nil
@@ -43,8 +43,8 @@
 var _ Peers = (*Network)(nil)
 
 // Ask implements Peers.
-func (n *Network) Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Answer, error) {
-	return call[Answer](ctx, n, host, methodAsk, ask)
+func (n *Network) Ask(ctx context.Context, host mustardramp.HostName, request Request) (Response, error) {
+	return call[Response](ctx, n, host, methodAsk, request)
 }
 
 // Vote implements Peers.
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -19,13 +19,13 @@
 const (
 	// StepInterval is the interval at which Step must be called.
 	StepInterval = time.Second
-	// askTimeout is the timeout of one ask. It exceeds campaignTimeout, since the first
-	// ask for a workspace waits for the votes.
+	// askTimeout is the timeout of one request for tokens. It exceeds campaignTimeout, since the first
+	// one for a workspace waits for the votes.
 	askTimeout = 800 * time.Millisecond
 	// campaignTimeout is the time for each of the two rounds of a campaign.
 	campaignTimeout = 300 * time.Millisecond
 	// changeTimeout is how long requests wait for a new keeper before the fallback
-	// decides on them, with an ask every changePause. A planned change takes a few round
+	// decides on them, with a request every changePause. A planned change takes a few round
 	// trips, and some campaigns if several hosts share the votes.
 	changeTimeout = 600 * time.Millisecond
 	changePause   = 50 * time.Millisecond
@@ -243,7 +243,7 @@
 }
 
 // askWhileWaiting asks keepers until no request waits. All requests that wait at the
-// same time share one ask.
+// same time share one request to the keeper.
 func (p *Pool) askWhileWaiting(h *holderState) {
 	var failedSince time.Time
 	for {
@@ -254,10 +254,10 @@
 			return
 		}
 		askedAt := p.config.Clock.Now()
-		ask := p.newAsk(h, askedAt, len(h.waiting))
+		request := p.newRequest(h, askedAt, len(h.waiting))
 		h.mu.Unlock()
 
-		answer, keeper := p.askKeepers(h.name, ask)
+		answer, keeper := p.askKeepers(h.name, request)
 
 		h.mu.Lock()
 		now := p.config.Clock.Now()
@@ -277,7 +277,7 @@
 			h.lost = false
 			used := h.receive(askedAt, now, keeper, answer, len(h.waiting))
 			h.admit(used)
-			// An answer that admits none must not be followed by another ask at once.
+			// An answer that admits none must not be followed by another request at once.
 			if answer.RetryIn > 0 || used == 0 {
 				h.refuseAll()
 			}
@@ -286,19 +286,19 @@
 	}
 }
 
-// newAsk returns an ask for waiting requests and what they foreshadow; the caller holds
+// newRequest returns the request for the tokens of waiting and of expected requests; the caller holds
 // h.mu.
-func (p *Pool) newAsk(h *holderState, now time.Time, waiting int) Ask {
+func (p *Pool) newRequest(h *holderState, now time.Time, waiting int) Request {
 	h.expire(now)
-	ask := Ask{
+	request := Request{
 		Workspace: h.name, Host: p.config.Self.Host, Want: waiting, Unused: h.unused,
 		Rate: h.quota.Rate, Burst: h.quota.Burst, Version: p.config.Index(),
 	}
 	if waiting > 0 {
-		ask.Ahead = h.demand.ahead(now)
+		request.Ahead = h.demand.ahead(now)
 	}
 	h.unused = 0
-	return ask
+	return request
 }
 
 // fallBack decides on the waiting requests without a keeper; the caller holds h.mu.
@@ -335,7 +335,7 @@
 // askKeepers asks the keeper that is known, or the first hosts in rendezvous order, and
 // those that they name. The returned keeper is empty if none of them keeps the
 // workspace.
-func (p *Pool) askKeepers(w mustardramp.WorkspaceName, ask Ask) (Answer, mustardramp.HostName) {
+func (p *Pool) askKeepers(w mustardramp.WorkspaceName, request Request) (Response, mustardramp.HostName) {
 	var tried []mustardramp.HostName
 	next := p.candidates(w)
 	for len(next) > 0 && len(tried) <= keepersAsked {
@@ -345,7 +345,7 @@
 			continue
 		}
 		tried = append(tried, host)
-		answer, err := p.askOne(host, ask)
+		answer, err := p.askOne(host, request)
 		switch {
 		case err != nil:
 			p.down.Store(host, p.config.Clock.Now().Add(keeperBackoff))
@@ -355,7 +355,7 @@
 			next = append([]mustardramp.HostName{answer.Keeper}, next...)
 		}
 	}
-	return Answer{}, ""
+	return Response{}, ""
 }
 
 // candidates returns the hosts that may keep a workspace, the likeliest first.
@@ -377,40 +377,40 @@
 }
 
 // askOne asks one host, which may be this one.
-func (p *Pool) askOne(host mustardramp.HostName, ask Ask) (Answer, error) {
+func (p *Pool) askOne(host mustardramp.HostName, request Request) (Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	if host == p.config.Self.Host {
-		return p.Answer(ctx, ask), nil
+		return p.Answer(ctx, request), nil
 	}
-	return p.config.Peers.Ask(ctx, host, ask)
+	return p.config.Peers.Ask(ctx, host, request)
 }
 
-// Answer answers an ask as the keeper of the workspace. If this host does not keep it,
+// Answer answers a request as the keeper of the workspace. If this host does not keep it,
 // it first tries to win the votes.
-func (p *Pool) Answer(ctx context.Context, ask Ask) Answer {
+func (p *Pool) Answer(ctx context.Context, request Request) Response {
 	if p.stopping.Load() {
 		// Once the votes are released, another host can win them at the first try.
 		select {
 		case <-p.stopped:
 		case <-ctx.Done():
 		}
-		return Answer{}
+		return Response{}
 	}
-	k := p.lockKeeper(ask.Workspace)
+	k := p.lockKeeper(request.Workspace)
 	defer k.mu.Unlock()
 	now := p.config.Clock.Now()
-	k.bucket.configure(now, mustardramp.Quota{Rate: ask.Rate, Burst: ask.Burst}, ask.Version)
+	k.bucket.configure(now, mustardramp.Quota{Rate: request.Rate, Burst: request.Burst}, request.Version)
 	if !k.isKeeping(now) {
-		if ask.Want == 0 || k.campaign == nil && now.Before(k.pausedUntil) {
-			return Answer{Keeper: k.otherHolder(p.config.Self.Host)}
+		if request.Want == 0 || k.campaign == nil && now.Before(k.pausedUntil) {
+			return Response{Keeper: k.otherHolder(p.config.Self.Host)}
 		}
 		p.awaitCampaign(ctx, k)
 		if now = p.config.Clock.Now(); !k.isKeeping(now) {
-			return Answer{Keeper: k.otherHolder(p.config.Self.Host)}
+			return Response{Keeper: k.otherHolder(p.config.Self.Host)}
 		}
 	}
-	return k.lend(now, &ask)
+	return k.lend(now, &request)
 }
 
 // otherHolder returns the keeper that the voters named, unless it is this host.
@@ -606,10 +606,10 @@
 		h.mu.Unlock()
 		return
 	}
-	ask := p.newAsk(h, now, 0)
+	request := p.newRequest(h, now, 0)
 	h.mu.Unlock()
 	p.calls.Go(func() error {
-		_, _ = p.askOne(keeper, ask)
+		_, _ = p.askOne(keeper, request)
 		return nil
 	})
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -13,8 +13,8 @@
 	"github.com/mustardramp/mustardramp"
 )
 
-// Ask asks a keeper for tokens.
-type Ask struct {
+// Request asks a keeper for tokens.
+type Request struct {
 	Workspace mustardramp.WorkspaceName `json:"workspace" cbor:"1,keyasint"`
 	Host      mustardramp.HostName      `json:"host" cbor:"2,keyasint"`
 	// Want is the number of requests that wait, and Ahead the number of tokens for those
@@ -30,8 +30,8 @@
 	Version mustardramp.Index `json:"version" cbor:"7,keyasint,omitempty"`
 }
 
-// Answer answers an Ask.
-type Answer struct {
+// Response answers a Request.
+type Response struct {
 	// Kept is true if the host keeps the workspace. Otherwise Keeper names the host that
 	// does, if it is known.
 	Kept    bool                 `json:"kept" cbor:"1,keyasint,omitempty"`
@@ -45,7 +45,7 @@
 // Peers calls the pools on other hosts.
 type Peers interface {
 	// Ask may fail after tokens were lent; these then count as used.
-	Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Answer, error)
+	Ask(ctx context.Context, host mustardramp.HostName, request Request) (Response, error)
 	// Vote may fail after the vote was given; it then lasts VoteTerm.
 	Vote(ctx context.Context, host mustardramp.HostName, ballot Ballot) (Vote, error)
 }
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -158,8 +158,8 @@
 	return answer, err
 }
 
-func (n *node) Ask(ctx context.Context, host mustardramp.HostName, ask Ask) (Answer, error) {
-	return deliver(ctx, n, host, func(ctx context.Context, p *Pool) Answer { return p.Answer(ctx, ask) })
+func (n *node) Ask(ctx context.Context, host mustardramp.HostName, request Request) (Response, error) {
+	return deliver(ctx, n, host, func(ctx context.Context, p *Pool) Response { return p.Answer(ctx, request) })
 }
 
 func (n *node) Vote(ctx context.Context, host mustardramp.HostName, b Ballot) (Vote, error) {
