Restore a reason and drop words on how a value was found

The size of a whole packet stays well below the limit of a message on a link: the comment says so again. A comment of callerlimit told how a cost was measured; one of canary called a further attempt the last one.

--- a/internal/callerlimit/callerlimit.go
+++ b/internal/callerlimit/callerlimit.go
@@ -20,7 +20,7 @@
 	// lineCost is the cost of a line of a head besides its bytes. net/http keeps each
 	// line as a map entry of 79 to 99 bytes (45 if the name occurs again), allocates
 	// another 60 to 75 while the map grows, and the copy that is forwarded takes 58 to
-	// 79 bytes more (measured with heads of 1,700 to 10,000 short lines).
+	// 79 bytes more.
 	lineCost mustardramp.Bytes = 256
 	// byteCost is the cost of a byte of a head: the line in the reader's buffer and
 	// the string that is made of it.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -53,7 +53,7 @@
 	Pipeline int
 
 	server http.Server
-	// pipelined is nil before Serve, and if the server runs no requests side by side.
+	// pipelined is nil before Serve, and if the server runs no requests concurrently.
 	pipelined atomic.Pointer[pipeline.Listener]
 	// ready is true from the start of Serve until Stop is called or Serve ends.
 	ready atomic.Bool
@@ -93,7 +93,7 @@
 	return err
 }
 
-// splitPipelined returns a listener that lets pipelined requests run side by side, or the
+// splitPipelined returns a listener that lets pipelined requests run concurrently, or the
 // given one if that is turned off.
 func (s *Server) splitPipelined(listener net.Listener) net.Listener {
 	if s.Pipeline == 1 {
--- a/internal/pipeline/listener.go
+++ b/internal/pipeline/listener.go
@@ -1,5 +1,5 @@
 // Package pipeline lets net/http's server run the pipelined requests of a connection
-// side by side. A Listener in front of the server hands each further GET or HEAD
+// concurrently. A Listener in front of the server hands each further GET or HEAD
 // request that arrives before the answer to an earlier one to an internal connection of
 // its own, and writes the answers in the order of the requests.
 package pipeline
@@ -35,7 +35,7 @@
 // Limits bounds the work in progress of pipelined requests. Zero values mean defaults.
 type Limits struct {
 	// Requests is the largest number of requests in progress of one connection. With 1
-	// requests are not run side by side.
+	// requests are not run concurrently.
 	Requests int
 	// Internal is the largest number of internal connections of all connections.
 	Internal int
--- a/internal/pool/canary.go
+++ b/internal/pool/canary.go
@@ -43,7 +43,7 @@
 
 // isCanary reports whether a request is a canary: it can be retried if its backend turns
 // out to be unhealthy, and spares that failure to the requests of the service that
-// cannot. The last attempt of a request is none.
+// cannot. A further attempt of a request is not a canary, since none may follow it.
 func (c *Core) isCanary(demand *mustardramp.Demand) bool {
 	return demand.Idempotent && !demand.IsFurtherAttempt && math.Float64frombits(c.onceShare.bits.Load()) >= minOnceShare
 }
--- a/internal/quorum/parts.go
+++ b/internal/quorum/parts.go
@@ -11,7 +11,8 @@
 const (
 	// maxWholePacketBytes is the approximate size above which the messages of a packet
 	// are sent in several packets. Parts are compressed and fit maxBytesInFlight, so
-	// that large messages take little memory while they are sent.
+	// that large messages take little memory while they are sent. It is well below
+	// link.DefaultMaxMessage, since the encoding on a link is longer.
 	maxWholePacketBytes = 256 << 10
 	// partBytes is the maximum size of the data in one part.
 	partBytes = 256 << 10
