--- a/gen/http/cli/mustardramp/cli.go
+++ b/gen/http/cli/mustardramp/cli.go
@@ -17,6 +17,7 @@
 	fleetc "github.com/mustardramp/mustardramp/gen/http/fleet/client"
 	ledgerc "github.com/mustardramp/mustardramp/gen/http/ledger/client"
 	refusalc "github.com/mustardramp/mustardramp/gen/http/refusal/client"
+	workspacec "github.com/mustardramp/mustardramp/gen/http/workspace/client"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 )
@@ -30,15 +31,17 @@
 		"refusal (show|list)",
 		"contract (check|publish|list|show|log)",
 		"fleet (status|backends|drain|metrics)",
+		"workspace (list|show)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "ledger show --service \"Ipsa quaerat.\" --caller \"Dolores nobis aliquam et iste.\" --key \"Eos et fugiat sint sed inventore doloremque.\" --token \"Voluptatem atque necessitatibus placeat velit eaque et.\"" + "\n" +
-		os.Args[0] + " " + "refusal show --id \"kl3\" --token \"Et dolores.\"" + "\n" +
-		os.Args[0] + " " + "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         },\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         }\n      ]\n   }' --token \"Sit qui.\"" + "\n" +
-		os.Args[0] + " " + "fleet status --token \"Eaque quo.\"" + "\n" +
+	return os.Args[0] + " " + "ledger show --service \"Qui facere aut accusantium autem autem aut.\" --caller \"Harum molestiae nisi.\" --key \"Molestiae qui eveniet aut occaecati vel eveniet.\" --token \"Dolores molestiae tenetur a optio nam.\"" + "\n" +
+		os.Args[0] + " " + "refusal show --id \"uba\" --token \"Libero minima molestiae quis.\"" + "\n" +
+		os.Args[0] + " " + "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         },\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         },\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         }\n      ]\n   }' --token \"Suscipit et temporibus omnis optio.\"" + "\n" +
+		os.Args[0] + " " + "fleet status --token \"Aut dolor quas.\"" + "\n" +
+		os.Args[0] + " " + "workspace list --after \"Quo accusamus cumque temporibus.\" --limit 965 --token \"Provident iure in.\"" + "\n" +
 		""
 }
 
@@ -124,6 +127,17 @@
 		fleetMetricsLimitFlag  = fleetMetricsFlags.String("limit", "100", "")
 		fleetMetricsPrefixFlag = fleetMetricsFlags.String("prefix", "", "")
 		fleetMetricsTokenFlag  = fleetMetricsFlags.String("token", "", "")
+
+		workspaceFlags = flag.NewFlagSet("workspace", flag.ContinueOnError)
+
+		workspaceListFlags     = flag.NewFlagSet("list", flag.ExitOnError)
+		workspaceListAfterFlag = workspaceListFlags.String("after", "", "")
+		workspaceListLimitFlag = workspaceListFlags.String("limit", "100", "")
+		workspaceListTokenFlag = workspaceListFlags.String("token", "", "")
+
+		workspaceShowFlags     = flag.NewFlagSet("show", flag.ExitOnError)
+		workspaceShowNameFlag  = workspaceShowFlags.String("name", "REQUIRED", "")
+		workspaceShowTokenFlag = workspaceShowFlags.String("token", "", "")
 	)
 	ledgerFlags.Usage = ledgerUsage
 	ledgerShowFlags.Usage = ledgerShowUsage
@@ -146,6 +160,10 @@
 	fleetDrainFlags.Usage = fleetDrainUsage
 	fleetMetricsFlags.Usage = fleetMetricsUsage
 
+	workspaceFlags.Usage = workspaceUsage
+	workspaceListFlags.Usage = workspaceListUsage
+	workspaceShowFlags.Usage = workspaceShowUsage
+
 	if err := flag.CommandLine.Parse(os.Args[1:]); err != nil {
 		return nil, nil, err
 	}
@@ -169,6 +187,8 @@
 			svcf = contractFlags
 		case "fleet":
 			svcf = fleetFlags
+		case "workspace":
+			svcf = workspaceFlags
 		default:
 			return nil, nil, fmt.Errorf("unknown service %q", svcn)
 		}
@@ -239,6 +259,16 @@
 
 			}
 
+		case "workspace":
+			switch epn {
+			case "list":
+				epf = workspaceListFlags
+
+			case "show":
+				epf = workspaceShowFlags
+
+			}
+
 		}
 	}
 	if epf == nil {
@@ -314,6 +344,16 @@
 				endpoint = c.Metrics()
 				data, err = fleetc.BuildMetricsPayload(*fleetMetricsAfterFlag, *fleetMetricsLimitFlag, *fleetMetricsPrefixFlag, *fleetMetricsTokenFlag)
 			}
+		case "workspace":
+			c := workspacec.NewClient(scheme, host, doer, enc, dec, restore)
+			switch epn {
+			case "list":
+				endpoint = c.List()
+				data, err = workspacec.BuildListPayload(*workspaceListAfterFlag, *workspaceListLimitFlag, *workspaceListTokenFlag)
+			case "show":
+				endpoint = c.Show()
+				data, err = workspacec.BuildShowPayload(*workspaceShowNameFlag, *workspaceShowTokenFlag)
+			}
 		}
 	}
 	if err != nil {
@@ -355,7 +395,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger show --service \"Ipsa quaerat.\" --caller \"Dolores nobis aliquam et iste.\" --key \"Eos et fugiat sint sed inventore doloremque.\" --token \"Voluptatem atque necessitatibus placeat velit eaque et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger show --service \"Qui facere aut accusantium autem autem aut.\" --caller \"Harum molestiae nisi.\" --key \"Molestiae qui eveniet aut occaecati vel eveniet.\" --token \"Dolores molestiae tenetur a optio nam.\"")
 }
 
 func ledgerSettleUsage() {
@@ -375,7 +415,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger settle --body '{\n      \"caller\": \"Nisi quae iure.\",\n      \"key\": \"Eos consequatur minima.\",\n      \"outcome\": \"not-run\",\n      \"service\": \"Ut consectetur.\",\n      \"who\": \"Quia sequi non id facilis similique itaque.\",\n      \"why\": \"Et molestias rerum optio minima in vel.\"\n   }' --token \"Tenetur suscipit ut deleniti vitae voluptate.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "ledger settle --body '{\n      \"caller\": \"Quaerat fugiat.\",\n      \"key\": \"Minus voluptatum dolorem.\",\n      \"outcome\": \"not-run\",\n      \"service\": \"Ea quod.\",\n      \"who\": \"Autem doloremque rerum earum et.\",\n      \"why\": \"Quo officiis amet labore consequatur recusandae saepe.\"\n   }' --token \"Magnam autem eligendi eligendi sint sit.\"")
 }
 
 // refusalUsage displays the usage of the refusal command and its subcommands.
@@ -406,7 +446,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal show --id \"kl3\" --token \"Et dolores.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal show --id \"uba\" --token \"Libero minima molestiae quis.\"")
 }
 
 func refusalListUsage() {
@@ -434,7 +474,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal list --after \"Voluptatem adipisci beatae dicta.\" --limit 157 --caller \"Perspiciatis vel omnis.\" --service \"Est facilis.\" --since \"1975-06-25T23:16:30Z\" --token \"Neque consequatur omnis esse harum non doloremque.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "refusal list --after \"Dolorem neque consequatur omnis.\" --limit 690 --caller \"Non doloremque perferendis.\" --service \"Eaque corporis non.\" --since \"1984-05-19T13:49:58Z\" --token \"Aliquid libero eius.\"")
 }
 
 // contractUsage displays the usage of the contract command and its subcommands.
@@ -468,7 +508,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         },\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         }\n      ]\n   }' --token \"Sit qui.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract check --body '{\n      \"files\": [\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         },\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         },\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         }\n      ]\n   }' --token \"Suscipit et temporibus omnis optio.\"")
 }
 
 func contractPublishUsage() {
@@ -488,7 +528,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract publish --body '{\n      \"change\": \"h9\",\n      \"files\": [\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         },\n         {\n            \"base\": 6534595453770048177,\n            \"name\": \"sml\",\n            \"source\": \"iou\"\n         }\n      ],\n      \"who\": \"dbi\",\n      \"why\": \"88j\"\n   }' --token \"Quis perspiciatis praesentium.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract publish --body '{\n      \"change\": \"zxr\",\n      \"files\": [\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         },\n         {\n            \"base\": 17075387832065051826,\n            \"name\": \"qd2\",\n            \"source\": \"b1r\"\n         }\n      ],\n      \"who\": \"2l1\",\n      \"why\": \"gmo\"\n   }' --token \"Quo accusantium omnis deleniti non ducimus rerum.\"")
 }
 
 func contractListUsage() {
@@ -510,7 +550,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract list --after \"Porro voluptatem inventore.\" --limit 692 --token \"Voluptate itaque voluptatem necessitatibus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract list --after \"Aut iure modi illo.\" --limit 510 --token \"Sunt deleniti culpa.\"")
 }
 
 func contractShowUsage() {
@@ -532,7 +572,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract show --service \"Nihil mollitia iusto deserunt voluptatem.\" --revision 11335618497779903498 --token \"Corrupti eos enim.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract show --service \"Minima quaerat dignissimos et laborum quidem voluptatem.\" --revision 7678330531956923073 --token \"Molestiae ex quos.\"")
 }
 
 func contractLogUsage() {
@@ -556,7 +596,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract log --after \"Illo unde velit sunt deleniti culpa.\" --limit 12 --service \"Iure eos sed itaque sed.\" --token \"Eum dolor quis est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "contract log --after \"Beatae ut qui nemo dignissimos nulla dolor.\" --limit 8 --service \"Maxime dolorem ad.\" --token \"Ut quia.\"")
 }
 
 // fleetUsage displays the usage of the fleet command and its subcommands.
@@ -587,7 +627,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Eaque quo.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet status --token \"Aut dolor quas.\"")
 }
 
 func fleetBackendsUsage() {
@@ -611,7 +651,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet backends --after \"Molestias dolor iure tempora voluptates.\" --limit 73 --service \"Dolor vero id accusantium sed.\" --token \"Aut ut expedita voluptatem natus sed et.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet backends --after \"Fugiat optio qui fugit voluptatem ipsum.\" --limit 565 --service \"Voluptatem impedit quae ab.\" --token \"Sequi beatae odit doloremque.\"")
 }
 
 func fleetDrainUsage() {
@@ -631,7 +671,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet drain --body '{\n      \"who\": \"Reprehenderit laborum voluptas.\",\n      \"why\": \"Nemo ut.\"\n   }' --token \"Adipisci ipsa.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet drain --body '{\n      \"who\": \"Ut dolore est ut.\",\n      \"why\": \"Laboriosam numquam ut nihil aut est.\"\n   }' --token \"Velit aut voluptatum perferendis.\"")
 }
 
 func fleetMetricsUsage() {
@@ -655,5 +695,59 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet metrics --after \"Sequi beatae odit doloremque.\" --limit 354 --prefix \"Sed sed nemo aut eum et.\" --token \"Fugiat non aut autem velit deleniti sit.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "fleet metrics --after \"Enim autem iste.\" --limit 711 --prefix \"Perferendis odio vel.\" --token \"Repudiandae porro occaecati.\"")
+}
+
+// workspaceUsage displays the usage of the workspace command and its
+// subcommands.
+func workspaceUsage() {
+	fmt.Fprintln(os.Stderr, `Workspaces: their limits, use and refusals.`)
+	fmt.Fprintf(os.Stderr, "Usage:\n    %s [globalflags] workspace COMMAND [flags]\n\n", os.Args[0])
+	fmt.Fprintln(os.Stderr, "COMMAND:")
+	fmt.Fprintln(os.Stderr, `    list: Lists the workspaces in force at the asked host.`)
+	fmt.Fprintln(os.Stderr, `    show: Shows one workspace.`)
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Additional help:")
+	fmt.Fprintf(os.Stderr, "    %s workspace COMMAND --help\n", os.Args[0])
+}
+func workspaceListUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] workspace list", os.Args[0])
+	fmt.Fprint(os.Stderr, " -after STRING")
+	fmt.Fprint(os.Stderr, " -limit INT")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Lists the workspaces in force at the asked host.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -after STRING: `)
+	fmt.Fprintln(os.Stderr, `    -limit INT: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "workspace list --after \"Quo accusamus cumque temporibus.\" --limit 965 --token \"Provident iure in.\"")
+}
+
+func workspaceShowUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] workspace show", os.Args[0])
+	fmt.Fprint(os.Stderr, " -name STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Shows one workspace.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -name STRING: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "workspace show --name \"Quos velit excepturi officiis dolorum deleniti error.\" --token \"Et perspiciatis expedita eum porro repudiandae.\"")
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,8 +15,10 @@
 	fleethttp "github.com/mustardramp/mustardramp/gen/http/fleet/server"
 	ledgerhttp "github.com/mustardramp/mustardramp/gen/http/ledger/server"
 	refusalhttp "github.com/mustardramp/mustardramp/gen/http/refusal/server"
+	workspacehttp "github.com/mustardramp/mustardramp/gen/http/workspace/server"
 	ledgerapi "github.com/mustardramp/mustardramp/gen/ledger"
 	refusalapi "github.com/mustardramp/mustardramp/gen/refusal"
+	workspaceapi "github.com/mustardramp/mustardramp/gen/workspace"
 	"github.com/mustardramp/mustardramp/internal/registry"
 	"github.com/mustardramp/mustardramp/pkg/admin"
 	"github.com/mustardramp/mustardramp/pkg/contract"
@@ -83,6 +85,12 @@
 	Settle(ctx context.Context, id mustardramp.ClaimID, outcome mustardramp.Outcome, who, why string) (LedgerEntry, error)
 }
 
+// Workspaces reads the workspaces of the routing table in force at a host.
+type Workspaces interface {
+	// Workspaces lists the workspaces, sorted by name.
+	Workspaces() []*workspaceapi.Workspace
+}
+
 // Config holds the settings and the data sources of the API. Requests for a source
 // that is nil get the error "unavailable".
 type Config struct {
@@ -90,10 +98,11 @@
 	Token string
 	Clock mustardramp.Clock
 
-	Contracts Contracts
-	Refusals  Refusals
-	Fleet     Fleet
-	Ledger    Ledger
+	Contracts  Contracts
+	Refusals   Refusals
+	Fleet      Fleet
+	Ledger     Ledger
+	Workspaces Workspaces
 	// Dial opens a client of another host's API.
 	Dial func(address string) (*admin.Client, error)
 }
@@ -110,6 +119,7 @@
 	fleethttp.New(fleetapi.NewEndpoints(fleet{s}), mux, decode, encode, logEncodeError, nil).Mount(mux)
 	ledgerhttp.New(ledgerapi.NewEndpoints(ledger{s}), mux, decode, encode, logEncodeError, nil).Mount(mux)
 	refusalhttp.New(refusalapi.NewEndpoints(refusals{s}), mux, decode, encode, logEncodeError, nil).Mount(mux)
+	workspacehttp.New(workspaceapi.NewEndpoints(workspaces{s}), mux, decode, encode, logEncodeError, nil).Mount(mux)
 	return withCertificate(limitBody(mux))
 }
 
--- a/internal/admin/advice.go
+++ b/internal/admin/advice.go
@@ -38,6 +38,7 @@
 	mustardramp.KindKeyExpired:      "Look at the service whether it ran: the key is older than the time for which keys are kept.",
 	mustardramp.KindUnsettled:       "Look at the service whether it ran, and have an operator settle the key with 'ledger settle'.",
 	mustardramp.KindInFlight:        "Send it again with the same key: the first sending is still under way.",
+	mustardramp.KindUnauthorized:    "Send it with a key that a workspace has now: with any other key, and without one, it is refused.",
 	mustardramp.KindAnswerNotStored: "Do not send it again: it ran. Read the result from the service.",
 }
 
--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -129,6 +129,8 @@
 		Refusals:  &e.refusals,
 		Fleet:     &entryView{e},
 		Ledger:    ledgerView{e.ledger},
-		Dial:      dialAdmin(e.config.AdminTLS),
+
+		Workspaces: &entryView{e},
+		Dial:       dialAdmin(e.config.AdminTLS),
 	})
 }
--- a/pkg/admin/client.go
+++ b/pkg/admin/client.go
@@ -18,8 +18,10 @@
 	fleethttp "github.com/mustardramp/mustardramp/gen/http/fleet/client"
 	ledgerhttp "github.com/mustardramp/mustardramp/gen/http/ledger/client"
 	refusalhttp "github.com/mustardramp/mustardramp/gen/http/refusal/client"
+	workspacehttp "github.com/mustardramp/mustardramp/gen/http/workspace/client"
 	"github.com/mustardramp/mustardramp/gen/ledger"
 	"github.com/mustardramp/mustardramp/gen/refusal"
+	"github.com/mustardramp/mustardramp/gen/workspace"
 )
 
 // Error is the class of the errors of this package.
@@ -41,10 +43,11 @@
 
 // Client holds the generated clients of the services of a host.
 type Client struct {
-	Contract *contract.Client
-	Fleet    *fleet.Client
-	Ledger   *ledger.Client
-	Refusal  *refusal.Client
+	Contract  *contract.Client
+	Fleet     *fleet.Client
+	Ledger    *ledger.Client
+	Refusal   *refusal.Client
+	Workspace *workspace.Client
 }
 
 // Dial returns a client of the target. It does not open a connection. The error has
@@ -67,11 +70,13 @@
 	f := fleethttp.NewClient(scheme, host, doer, encode, decode, false)
 	l := ledgerhttp.NewClient(scheme, host, doer, encode, decode, false)
 	r := refusalhttp.NewClient(scheme, host, doer, encode, decode, false)
+	w := workspacehttp.NewClient(scheme, host, doer, encode, decode, false)
 	return &Client{
-		Contract: contract.NewClient(c.Check(), c.Publish(), c.List(), c.Show(), c.Log()),
-		Fleet:    fleet.NewClient(f.Status(), f.Backends(), f.Drain(), f.Metrics()),
-		Ledger:   ledger.NewClient(l.Show(), l.Settle()),
-		Refusal:  refusal.NewClient(r.Show(), r.List()),
+		Contract:  contract.NewClient(c.Check(), c.Publish(), c.List(), c.Show(), c.Log()),
+		Fleet:     fleet.NewClient(f.Status(), f.Backends(), f.Drain(), f.Metrics()),
+		Ledger:    ledger.NewClient(l.Show(), l.Settle()),
+		Refusal:   refusal.NewClient(r.Show(), r.List()),
+		Workspace: workspace.NewClient(w.List(), w.Show()),
 	}
 }
 
--- a/pkg/cmd/root/root.go
+++ b/pkg/cmd/root/root.go
@@ -32,6 +32,8 @@
 	refusallist "github.com/mustardramp/mustardramp/pkg/cmd/refusal/list"
 	"github.com/mustardramp/mustardramp/pkg/cmd/refusal/why"
 	"github.com/mustardramp/mustardramp/pkg/cmd/version"
+	workspacelist "github.com/mustardramp/mustardramp/pkg/cmd/workspace/list"
+	workspaceshow "github.com/mustardramp/mustardramp/pkg/cmd/workspace/show"
 )
 
 type entryCommands struct {
@@ -79,6 +81,11 @@
 	List metricslist.Options `cmd:"" help:"List a host's histograms by service, rank and caller."`
 }
 
+type workspaceCommands struct {
+	List workspacelist.Options `cmd:"" help:"List workspaces with their limits and use."`
+	Show workspaceshow.Options `cmd:"" help:"Show a workspace's limits, use and refusals."`
+}
+
 type platformCommands struct {
 	Entry   platform.Entry   `cmd:"" help:"Run an entry host with the platform's settings."`
 	Control platform.Control `cmd:"" help:"Run a control host with the platform's settings."`
@@ -96,6 +103,8 @@
 	Metrics  metricsCommands  `cmd:"" help:"Read measurements."`
 	Platform platformCommands `cmd:"" help:"Run hosts on the users' platform."`
 	Version  version.Options  `cmd:"" help:"Print the version."`
+
+	Workspace workspaceCommands `cmd:"" help:"Look at workspaces."`
 }
 
 func newCommands(f *factory.Factory) *commands {
@@ -114,6 +123,8 @@
 		Metrics:  metricsCommands{List: metricslist.New(f)},
 		Platform: platformCommands{Entry: platform.NewEntry(f)},
 		Version:  version.New(f),
+
+		Workspace: workspaceCommands{List: workspacelist.New(f), Show: workspaceshow.New(f)},
 	}
 }
 
--- a/pkg/contract/workspace.go
+++ b/pkg/contract/workspace.go
@@ -21,6 +21,8 @@
 	// Rank takes precedence over the rank of a route if HasRank is true.
 	Rank    mustardramp.Rank
 	HasRank bool
+	// KeyCount is the number of keys.
+	KeyCount int
 }
 
 // addWorkspaces compiles the workspaces of a table.
@@ -32,7 +34,7 @@
 	c.byKey = make(map[keyDigest]int32, len(workspaces))
 	for i := range workspaces {
 		t := &workspaces[i]
-		w := &Workspace{Name: t.Name}
+		w := &Workspace{Name: t.Name, KeyCount: len(t.Keys)}
 		if t.Rate != nil {
 			w.Quota.Rate = *t.Rate
 		}
