Bound the backlog of a slow member by bytes

Cause: a change is committed by three of five hosts, and nothing bounded what the others had left to apply. Entries stay in memory until the state machine has applied them; close to the memory limit garbage collection slows the host further. The leader also sent up to 8,192 entries without an answer, whatever their size.

Change: a member with more than 8 MiB of committed commands left to apply accepts no entries and says so; a leader with as much refuses large proposals and says so, and small ones only at twice that; unanswered entries are bounded by 2 MiB. Only committed commands count at a member, because others may need further entries to be committed.

--- a/internal/quorum/apply.go
+++ b/internal/quorum/apply.go
@@ -133,6 +133,7 @@
 // snapshot, if it took one.
 func (g *Group) finishTask(r taskResult) error {
 	g.isApplying = false
+	g.core.recordApplied(r.index)
 	g.waiters.resolve(r.proposals, r.index)
 	if r.state == nil {
 		return nil
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -83,6 +83,13 @@
 	commitIndex mustardramp.Index
 	// dispatched is the index of the last entry passed to the state machine.
 	dispatched mustardramp.Index
+	// applied is the index of the last entry that the state machine has applied.
+	applied mustardramp.Index
+	// isBehind is set while the state machine has so much left to apply that the member
+	// accepts no entries.
+	isBehind bool
+	// isLeaderOverloaded is set while the leader states that it refuses large proposals.
+	isLeaderOverloaded bool
 	// synced is what the last finished sync covers. Entries up to its index are
 	// the same in memory and on disk.
 	synced syncPoint
@@ -198,6 +205,7 @@
 	c.leader = leader
 	c.hasSeenLeader = c.hasSeenLeader || leader != 0
 	c.leaderState = nil
+	c.isLeaderOverloaded = false
 	c.votes = nil
 	c.resetElectionTimeout()
 }
--- a/internal/quorum/entry.go
+++ b/internal/quorum/entry.go
@@ -54,6 +54,10 @@
 	baseTerm  Term
 	// entries have consecutive indexes from baseIndex+1.
 	entries []Entry
+	// ends holds, for each entry, the size of all commands up to its end, and baseEnd
+	// that at the base position. Only differences between them matter.
+	ends    []int64
+	baseEnd int64
 	// memberships holds the memberships by ascending index. The first one is
 	// that of the base position and may be empty.
 	memberships []indexedMembership
@@ -92,6 +96,25 @@
 	return l.entries[after-l.baseIndex : upTo-l.baseIndex]
 }
 
+// endAt returns the end of the command at an index that the log contains.
+func (l *memoryLog) endAt(index mustardramp.Index) int64 {
+	if index == l.baseIndex {
+		return l.baseEnd
+	}
+	return l.ends[index-l.baseIndex-1]
+}
+
+// commandBytes returns the size of the commands after the first index up to and
+// including the second, without those that the log has dropped.
+func (l *memoryLog) commandBytes(after, upTo mustardramp.Index) int {
+	after = max(after, l.baseIndex)
+	upTo = min(upTo, l.lastIndex())
+	if after >= upTo {
+		return 0
+	}
+	return int(l.endAt(upTo) - l.endAt(after))
+}
+
 // append adds entries and removes any existing entry at the index of the first
 // one or later.
 func (l *memoryLog) append(entries ...Entry) {
@@ -103,8 +126,14 @@
 		// Slices of the old entries may still be in use, so the new entries must
 		// not overwrite their array.
 		l.entries = slices.Clip(l.entries[:prevIndex-l.baseIndex])
+		l.ends = l.ends[:prevIndex-l.baseIndex]
 	}
 	l.entries = append(l.entries, entries...)
+	end := l.endAt(prevIndex)
+	for _, entry := range entries {
+		end += int64(len(entry.Command))
+		l.ends = append(l.ends, end)
+	}
 	for l.latestMembership().index > prevIndex {
 		l.memberships = l.memberships[:len(l.memberships)-1]
 	}
@@ -147,7 +176,10 @@
 			kept = append(kept, m)
 		}
 	}
+	end := l.endAt(upTo)
 	l.entries = append([]Entry(nil), l.between(upTo, l.lastIndex())...)
+	l.ends = append([]int64(nil), l.ends[upTo-l.baseIndex:]...)
+	l.baseEnd = end
 	l.baseIndex, l.baseTerm, l.memberships = upTo, term, kept
 }
 
--- a/internal/quorum/follower.go
+++ b/internal/quorum/follower.go
@@ -15,9 +15,10 @@
 		})
 		return
 	}
-	c.appendMissing(m.Entries)
-	match := m.Index + mustardramp.Index(len(m.Entries))
+	c.isLeaderOverloaded = m.Busy
+	match := m.Index + mustardramp.Index(c.appendMissing(m.Entries))
 	c.commitIndex = max(c.commitIndex, min(m.Commit, match))
+	c.updateBehind()
 	c.acknowledge(m, match)
 }
 
@@ -58,27 +59,32 @@
 	return hint
 }
 
-// appendMissing appends the entries from the first one that the log does not
-// contain.
-func (c *core) appendMissing(entries []Entry) {
+// appendMissing appends the entries from the first one that the log does not contain,
+// unless the member is behind. It returns the number of entries that the log contains
+// now.
+func (c *core) appendMissing(entries []Entry) int {
 	for i, entry := range entries {
 		if c.matchesAt(entry.Index, entry.Term) {
 			continue
 		}
+		if c.isBehind {
+			return i
+		}
 		if entry.Index <= c.log.lastIndex() {
 			c.generation++
 			c.synced.index = min(c.synced.index, entry.Index-1)
 		}
 		c.append(entries[i:]...)
-		return
+		break
 	}
+	return len(entries)
 }
 
 // acknowledge replies to the leader once all entries up to match are synced. The
 // round is confirmed without that wait, since it depends on the synced term
 // alone.
 func (c *core) acknowledge(m Message, match mustardramp.Index) {
-	ack := Message{Kind: MessageAppendReply, To: m.From, Index: match, Round: m.Round}
+	ack := Message{Kind: MessageAppendReply, To: m.From, Index: match, Round: m.Round, Busy: c.isBehind}
 	if match <= c.synced.index {
 		c.reply(ack)
 		return
--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -130,6 +130,8 @@
 	// isSyncing and isApplying are set while a batch or a task is in progress.
 	isSyncing  bool
 	isApplying bool
+	// loggedBehind is whether the member was behind when that was logged last.
+	loggedBehind bool
 	// queuedTask is the work collected for the applier.
 	queuedTask applyTask
 
@@ -198,6 +200,7 @@
 	g.bootstrapper = newBootstrapper(id.Member, &g.config)
 	if c.snapshot != nil {
 		g.waiters.appliedIndex = c.snapshot.Index
+		c.recordApplied(c.snapshot.Index)
 		return g.config.Machine.Restore(c.snapshot.State)
 	}
 	return nil
@@ -373,6 +376,7 @@
 		g.startSync()
 	}
 	g.startTask()
+	g.logBehind()
 	g.publishStatus()
 }
 
--- a/internal/quorum/leader.go
+++ b/internal/quorum/leader.go
@@ -35,6 +35,8 @@
 	sentRound  Round
 	// recentlyActive is set by any message since the last quorum check.
 	recentlyActive bool
+	// isBehind is set while the member accepts no entries.
+	isBehind bool
 	// transfer is the snapshot being sent to the member, or nil.
 	transfer *snapshotTransfer
 }
@@ -72,6 +74,9 @@
 
 // appendInTerm appends entries of the leader's own term.
 func (c *core) appendInTerm(entries ...Entry) {
+	if len(entries) == 0 {
+		return
+	}
 	for i := range entries {
 		entries[i].Index = c.log.lastIndex() + 1 + mustardramp.Index(i)
 		entries[i].Term = c.hardState.Term
@@ -163,7 +168,7 @@
 		}
 		return
 	}
-	if p.nextIndex <= c.log.lastIndex() && p.nextIndex-p.matchIndex <= maxUnackedEntries {
+	if p.nextIndex <= c.log.lastIndex() && !p.isBehind && c.hasUnackedRoom(p) {
 		c.sendAppend(id, p, c.maxAppendBytes)
 		return
 	}
@@ -201,6 +206,7 @@
 		Entries: entries,
 		Commit:  c.commitIndex,
 		Round:   c.leaderState.round,
+		Busy:    c.isOverloaded(),
 	})
 	p.sentCommit = c.commitIndex
 	p.sentRound = c.leaderState.round
@@ -239,6 +245,10 @@
 		p.probing = false
 		p.nextIndex = p.matchIndex + 1
 	}
+	if p.isBehind = m.Busy; p.isBehind {
+		// The member has declined the entries after those that it acknowledges.
+		p.nextIndex = p.matchIndex + 1
+	}
 	c.advanceCommit()
 }
 
--- a/internal/quorum/message.go
+++ b/internal/quorum/message.go
@@ -81,4 +81,7 @@
 	Blank bool `cbor:"15,keyasint,omitempty"`
 	// Change is set in MessageChange.
 	Change *Change `cbor:"16,keyasint,omitempty"`
+	// Busy is set in an append of a leader that refuses large proposals, and in the reply
+	// of a member that accepts no entries, because too much is left to apply there.
+	Busy bool `cbor:"17,keyasint,omitempty"`
 }
--- a/internal/quorum/proposal.go
+++ b/internal/quorum/proposal.go
@@ -6,7 +6,9 @@
 // otherwise. Without a known leader they are refused.
 func (c *core) propose(entries []Entry) {
 	if c.role == leader {
-		c.appendInTerm(slices.Clone(entries)...)
+		admitted, refused := c.admit(entries)
+		c.appendInTerm(admitted...)
+		c.refuseProposals(refused)
 		return
 	}
 	if c.leader == 0 {
@@ -26,14 +28,19 @@
 // handlePropose appends the proposals of another member. A member that does not
 // lead refuses them rather than forward them a second time.
 func (c *core) handlePropose(m Message) {
+	refused := m.Entries
 	if c.role == leader {
-		c.propose(m.Entries)
+		var admitted []Entry
+		admitted, refused = c.admit(m.Entries)
+		c.appendInTerm(admitted...)
 		c.recordAwaitedCommit(m.From, c.log.lastIndex())
+	}
+	if len(refused) == 0 {
 		return
 	}
-	refused := make([]Entry, len(m.Entries))
-	for i, entry := range m.Entries {
-		refused[i] = Entry{Proposal: entry.Proposal}
+	refused = slices.Clone(refused)
+	for i := range refused {
+		refused[i] = Entry{Proposal: refused[i].Proposal}
 	}
 	c.reply(Message{Kind: MessageProposeReply, To: m.From, Entries: refused})
 }
--- a/internal/quorum/simulation_test.go
+++ b/internal/quorum/simulation_test.go
@@ -183,6 +183,7 @@
 		sim.t.Fatal(err)
 	}
 	n.applied, n.compacted = s.Index, s.Index
+	n.core.recordApplied(s.Index)
 }
 
 // crash stops a node. Writes that are not synced are lost in part or completely.
@@ -344,6 +345,7 @@
 		sim.failInvariant("%s: entry %d applied after entry %d", n.host, entry.Index, n.applied)
 	}
 	n.applied = entry.Index
+	n.core.recordApplied(entry.Index)
 	earlier, ok := sim.committed[entry.Index]
 	if ok && (earlier.Term != entry.Term || earlier.Proposal != entry.Proposal) {
 		sim.failInvariant("%s: entry %d holds proposal %v, want %v", n.host, entry.Index, entry.Proposal, earlier.Proposal)
--- a/internal/quorum/waiters.go
+++ b/internal/quorum/waiters.go
@@ -41,7 +41,8 @@
 	// lastNumber is the number of the last proposal or read. It starts at a
 	// random value, so that numbers are not reused after a restart.
 	lastNumber uint64
-	// unsubmitted proposals wait for a leader, deferred ones for the next tick.
+	// unsubmitted proposals wait for a leader that accepts them, deferred ones for the
+	// next tick.
 	unsubmitted []*proposal
 	deferred    []*proposal
 	submitted   map[ProposalID]*proposal
@@ -61,25 +62,29 @@
 	}
 }
 
-// submit proposes the unsubmitted commands if there is a leader. Proposals that
+// submit proposes the unsubmitted commands that a leader is likely to accept. Proposals that
 // were submitted to an earlier leader fail, since their outcome is unknown.
 func (w *waiters) submit(c *core) {
 	if c.leader != w.leader || c.hardState.Term != w.term {
 		w.leader, w.term = c.leader, c.hardState.Term
 		w.failSubmitted("the leader changed")
 	}
-	if c.leader == 0 || len(w.unsubmitted) == 0 {
-		return
-	}
-	entries := make([]Entry, len(w.unsubmitted))
-	for i, p := range w.unsubmitted {
+	var entries []Entry
+	var held []*proposal
+	for _, p := range w.unsubmitted {
+		if !c.mayPropose(p.command) {
+			held = append(held, p)
+			continue
+		}
 		w.lastNumber++
 		id := ProposalID{Member: c.self.ID, Number: w.lastNumber}
 		w.submitted[id] = p
-		entries[i] = Entry{Kind: EntryCommand, Proposal: id, Command: p.command}
+		entries = append(entries, Entry{Kind: EntryCommand, Proposal: id, Command: p.command})
+	}
+	w.unsubmitted = held
+	if len(entries) > 0 {
+		c.propose(entries)
 	}
-	w.unsubmitted = nil
-	c.propose(entries)
 }
 
 // failSubmitted fails all submitted proposals with an unknown outcome.
