Refuse slots of departed backends that were never listed

What callers saw: a request reached a backend that had left, later than 2 s after its leaving was acknowledged (DRAIN), sent by a host that knew of the departure.

Cause: a host noted a departure when the backend left its list of standings. A backend that the host had not heard of before its departure was never noted, and a keeper that was frozen meanwhile still grants its slots.

Change: slots are checked against the departures that the host knows. A backend whose slot was refused is excluded from the next request for a slot.

Conclusion: the margin depends on whether the sender knows of the departure, no longer on whether it knew the backend.

--- a/internal/host/assemble.go
+++ b/internal/host/assemble.go
@@ -32,6 +32,7 @@
 	e.tally.Clock = e.clock
 	e.services.holder = lease.Holder{Host: config.Name, Incarnation: e.incarnation}
 	e.services.place, e.services.clock, e.services.peers = config.Place, e.clock, &e.network
+	e.services.hasDeparted = e.roster.HasDeparted
 	e.services.ratio, e.services.slack = config.RetryBudgetRatio, config.RetryBudgetSlack
 	e.services.maxLoadAge = config.MaxLoadAge
 	e.network.Find = e.links.address
--- a/internal/host/services.go
+++ b/internal/host/services.go
@@ -51,6 +51,8 @@
 	place  mustardramp.Place
 	clock  mustardramp.Clock
 	peers  lease.Peers
+	// hasDeparted is lease.Config.HasDeparted.
+	hasDeparted func(mustardramp.Backend) bool
 	// fleet is used only by the goroutine that calls setHosts.
 	fleet *lease.Fleet
 	// ratio and slack form the retry budget of the whole fleet for a service.
@@ -112,12 +114,12 @@
 			Clock:   s.clock,
 			Seed:    s.seed(c.Service),
 		},
-		Holder: s.holder,
-		Peers:  s.peers,
-		Ratio:  s.ratio,
-		Slack:  s.slack,
-
-		MaxLoadAge: s.maxLoadAge,
+		Holder:      s.holder,
+		Peers:       s.peers,
+		HasDeparted: s.hasDeparted,
+		Ratio:       s.ratio,
+		Slack:       s.slack,
+		MaxLoadAge:  s.maxLoadAge,
 	})
 	r.entry = entry.Service{Pool: &countingPool{Pool: r.pool, counts: &r.counts}, Budget: r.budget}
 	if c.Pooled {
--- a/internal/lease/exclusion.go
+++ b/internal/lease/exclusion.go
@@ -195,7 +195,20 @@
 // serves as far as this host knows.
 func (p *Pool) isWithdrawn(b *mustardramp.Backend) bool {
 	e, ok := p.exclusions.find(b)
-	return ok && e.isWithdrawn(p.clock.Now())
+	return ok && e.isWithdrawn(p.clock.Now()) || p.hasDeparted(*b)
+}
+
+// hasDeparted reports whether this host knows that a backend has left.
+func (p *Pool) hasDeparted(b mustardramp.Backend) bool {
+	return p.config.HasDeparted != nil && p.config.HasDeparted(b)
+}
+
+// excludeDeparted excludes a backend that has left, so that its keeper does not grant
+// its slots again.
+func (p *Pool) excludeDeparted(b mustardramp.Backend) {
+	if p.hasDeparted(b) {
+		p.exclusions.update(p.clock.Now(), &b, func(e *exclusion) { e.departed = true })
+	}
 }
 
 // excludedBackends returns the backends of the group that this host must not use. A
--- a/internal/lease/pool.go
+++ b/internal/lease/pool.go
@@ -25,6 +25,10 @@
 	Pool   pool.Config
 	Holder Holder
 	Peers  Peers
+	// HasDeparted reports whether this host knows that an incarnation of a backend has
+	// left, even if the backend was never among its standings. Nil stands for a host that
+	// knows of no departures.
+	HasDeparted func(mustardramp.Backend) bool
 	// Ratio is the ratio of retries to requests that the fleet allows, or 0 for the
 	// budget of the terms. Slack is the number of retries per ten seconds that are
 	// allowed in addition. Both apply only when the budget is pooled.
@@ -203,6 +207,7 @@
 		if err != nil || !slot.Withdrawn() {
 			return slot, err
 		}
+		p.excludeDeparted(slot.Backend())
 		slot.Release(mustardramp.ResultAbandoned, 0)
 	}
 	return nil, p.noGroupDenial(&demand, rand.Float64)
--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -46,9 +46,9 @@
 	return newest, found
 }
 
-// hasDeparted reports whether a departure of the incarnation or of a later one is
+// HasDeparted reports whether a departure of the incarnation or of a later one is
 // recorded.
-func (r *Roster) hasDeparted(b mustardramp.Backend) bool {
+func (r *Roster) HasDeparted(b mustardramp.Backend) bool {
 	if b.Instance == "" {
 		return false
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -106,7 +106,7 @@
 func (r *Roster) View(service mustardramp.ServiceName) []mustardramp.Backend {
 	var out []mustardramp.Backend
 	for _, e := range r.services[service] {
-		if e.isVisible() && !r.isReplaced(e) && !r.hasDeparted(e.statement.Backend) {
+		if e.isVisible() && !r.isReplaced(e) && !r.HasDeparted(e.statement.Backend) {
 			out = append(out, e.statement.Backend)
 		}
 	}
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -47,6 +47,13 @@
 	})
 }
 
+// HasDeparted calls Roster.HasDeparted.
+func (t *Table) HasDeparted(b mustardramp.Backend) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.roster.HasDeparted(b)
+}
+
 // Incarnation calls Roster.Incarnation.
 func (t *Table) Incarnation(instance string) (mustardramp.Incarnation, bool) {
 	t.mu.Lock()
