Take no reset of a backend's connection for the end of its answer

What callers saw: a backend answers a long upload at once with a 200 without a length, sends a part and resets the connection while the upload is being written. The caller gets the part as the whole answer, on HTTP/1.1 too, from contracts and from routing tables.

Cause: the system reports the error of a reset to one call only. If that is the write of the upload, the read finds the end of the data, and without a length that is the end of the answer.

Change: at the end of the data the host asks for the state of the socket. After a reset it is closed.

Conclusion: whether the cut showed depended on which of two calls met the reset.

--- a/internal/entry/backend_conn.go
+++ b/internal/entry/backend_conn.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
 
@@ -12,6 +14,7 @@
 var (
 	errFenced = errs.New("the attempt that used this connection has ended")
 	errBroken = errs.New("the connection broke before the answer began")
+	errReset  = errs.New("the backend reset the connection")
 )
 
 // backendConn is a connection to a backend that tracks which attempt uses it.
@@ -98,7 +101,7 @@
 
 // Read receives bytes and captures the header of the response. Bytes that arrive on
 // a reused connection before the request is sent belong to an earlier one, and
-// break the connection.
+// break the connection. A reset is never reported as the end of a response.
 func (c *backendConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.isUnrequested() {
@@ -114,6 +117,9 @@
 	if err != nil {
 		c.markBroken()
 	}
+	if errors.Is(err, io.EOF) && wasReset(c.Conn) {
+		return n, errReset
+	}
 	return n, err
 }
 
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -252,6 +252,8 @@
 	budget  *fakeBudget
 	ledger  *fakeLedger
 	service Service
+	// uploads holds the goroutines that send bodies by hand.
+	uploads errgroup.Group
 }
 
 // Service implements Services.
@@ -289,6 +291,7 @@
 	})
 	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(func() {
+		_ = f.uploads.Wait()
 		f.server.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
