Show callers of HTTP/1.0 that an answer was cut

What callers saw: an answer in chunks, or without a length, that the backend cut ended with a regular close of the connection for a caller of HTTP/1.0, who has no other sign of its end, and so as a whole one.

Cause: a cut answer ended by closing the caller's connection. HTTP/1.1 shows that by the missing last chunk.

Evidence: TestCutAnswerToAnOldCaller before: reset and close, in chunks and without a length, as whole from contracts and routing tables; TestAnswerCutDuringAnUpload with HTTP/1.0: six of eight cases as whole.

Change: the connection of an unframed answer is set up to end with a reset before the first byte of the body, and to end regularly once the answer is whole, so that a kill of the process shows too. Answers that are held in full get their length. A caller that still sends its body may learn of the reset by a write, so an unframed answer longer than 64 KiB is refused there (502, ran).

Conclusion: both interfaces, through the pipelining listener too.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -473,6 +473,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection below the guard.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite lets net/http end its responses before it closes the connection.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/entry/early_cut_test.go
+++ b/internal/entry/early_cut_test.go
@@ -29,7 +29,7 @@
 // and returns the status of the answer and whether the answer looks whole.
 func (f *fixture) callRaw(t *testing.T, version, method, path string, upload bool) (status int, isWhole bool) {
 	t.Helper()
-	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -91,7 +91,7 @@
 		"routing table": {newTableFixture, "/acts/1"},
 	} {
 		for answerName, answer := range answers {
-			for _, version := range []string{"1.1"} {
+			for _, version := range []string{"1.0", "1.1"} {
 				t.Run(name+", "+answerName+", HTTP/"+version, func(t *testing.T) {
 					f := tc.newHost(t, startRawBackend(t, cutDuringUpload(answer)))
 					// The caller must not depend on which of the host's reads and writes
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -53,6 +54,11 @@
 	refusalKind mustardramp.RefusalKind
 	// responseStarted is true once the response status has been written.
 	responseStarted bool
+	// writeFailed is true once a part of the response could not be written.
+	writeFailed bool
+	// unframed is the caller's connection if only its end tells the caller where the
+	// response ends, and nil otherwise. It ends with a reset until markWhole is called.
+	unframed *net.TCPConn
 }
 
 // run takes the request through every step. It returns a denial if the request
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -289,7 +289,9 @@
 		Ledger:      f.ledger,
 		Clock:       clock,
 	})
-	f.server = httptest.NewServer(f.handler)
+	f.server = httptest.NewUnstartedServer(f.handler)
+	f.server.Config.ConnContext = withCallerConn
+	f.server.Start()
 	t.Cleanup(func() {
 		_ = f.uploads.Wait()
 		f.server.Close()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -104,6 +104,9 @@
 	}
 	n, err := b.readFull(*buf)
 	switch {
+	case err == nil && a.x.mayHideCut(response):
+		a.releaseSlot(resultOfStatus(response.StatusCode))
+		return a.unusableResponse(mustardramp.KindBadAnswer, "a caller of HTTP/1.0 that still sends its body could not tell the end of the answer from a cut", nil)
 	case err == nil:
 		return a.relayStream(b, *buf, n)
 	case !errors.Is(err, io.EOF):
@@ -120,7 +123,7 @@
 // buffersStart reports whether the start of the response is withheld until it
 // fills the buffer.
 func (a *attempt) buffersStart(response *http.Response) bool {
-	return response.ContentLength >= 0 || a.x.route.RequireComplete || a.x.claim != nil || a.x.route.IsTableRoute()
+	return response.ContentLength >= 0 || a.x.route.RequireComplete || a.x.claim != nil || a.x.route.IsTableRoute() || a.x.mayHideCut(response)
 }
 
 // responseDigestCheck returns the check for the digest of the response, or nil.
@@ -185,6 +188,10 @@
 
 // relayBuffered writes a complete response, then starts to record its outcome.
 func (x *exchange) relayBuffered(response *bufferedResponse) {
+	if !x.r.ProtoAtLeast(1, 1) && len(response.body) > 0 {
+		// Without chunks the caller could not tell the end from a cut.
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	}
 	x.writeHeader(response.status, response.header, response.trailer)
 	if x.r.Method != http.MethodHead {
 		x.write(response.body)
@@ -202,6 +209,7 @@
 func (a *attempt) relayStream(b *bodyReader, buf []byte, n int) *outcome {
 	x := a.x
 	response := b.response
+	x.resetUnlessWhole(response)
 	x.writeHeader(response.StatusCode, response.Header, response.Trailer)
 	if response.ContentLength < 0 {
 		x.flush()
@@ -213,6 +221,7 @@
 	}
 	a.releaseSlot(resultOfStatus(response.StatusCode))
 	x.writeTrailer(response.Trailer)
+	x.markWhole()
 	return &outcome{relayed: true}
 }
 
@@ -269,6 +278,7 @@
 	}
 	a.releaseSlot(result)
 	a.x.refuse(&mustardramp.Denial{Kind: kind, Reason: reason, Facts: a.backendFacts("error", err.Error())})
+	a.x.resetCaller()
 	panic(http.ErrAbortHandler)
 }
 
@@ -301,6 +311,7 @@
 	}
 	x.extendWriteDeadline()
 	n, err := x.w.Write(p)
+	x.writeFailed = x.writeFailed || err != nil
 	x.sentBytes += mustardramp.Bytes(n)
 	return n, err
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -78,6 +78,10 @@
 // Serve accepts connections until Stop is called, and then returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	s.Guard.Attach(&s.server)
+	attach := s.server.ConnContext
+	s.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return withCallerConn(attach(ctx, conn), conn)
+	}
 	listener = s.Guard.Listener(listener)
 	s.ready.Store(true)
 	var err error
