Refuse answers whose status is no final status

What callers saw: after an answer with status 000 or +20 the connection ended without an answer; a 101 that nobody asked for, 600 and 999 were handed on; each of them with the header that says "not run" became a 503 or a further attempt.

Cause: the transport takes three characters that convert to a number, and the host checked the id and the stamp of an answer only.

Change: an answer whose status is not from 200 to 599 is no answer: 502, the connection is given up, and its headers state nothing.

Conclusion: a request that may be repeated is sent again; others end with a true 502.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -436,6 +436,9 @@
 // shedResult returns ResultShed or ResultLeaving, and true, if the backend declared
 // that it did not run the request.
 func (a *attempt) shedResult(response *http.Response) (mustardramp.Result, bool) {
+	if !hasFinalStatus(response) {
+		return 0, false
+	}
 	if a.isWrongInstance(response) {
 		return mustardramp.ResultLeaving, true
 	}
@@ -456,6 +459,13 @@
 	return mustardramp.ResultShed, true
 }
 
+// hasFinalStatus reports whether a response has a status that a final response may have.
+// The transport accepts any three characters that are a number, and leaves 101 to its
+// user; the host asks no backend to switch protocols.
+func hasFinalStatus(response *http.Response) bool {
+	return response.StatusCode >= http.StatusOK && response.StatusCode < 600
+}
+
 // isWrongInstance reports whether the address now belongs to another instance.
 func (a *attempt) isWrongInstance(response *http.Response) bool {
 	return a.x.h.config.Headers.Instance != "" && a.backend.Instance != "" && response.StatusCode == http.StatusMisdirectedRequest
--- a/internal/entry/header_names.go
+++ b/internal/entry/header_names.go
@@ -62,12 +62,14 @@
 	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
 }
 
-// mismatchReason returns why a response does not belong to the attempt's
-// request, or "". A backend that responds late or twice leaves such responses
-// on a connection.
+// mismatchReason returns why a response is no answer to the attempt's request, or "".
+// A backend that responds late or twice leaves such responses on a connection.
 func (a *attempt) mismatchReason(response *http.Response) string {
 	headers := &a.x.h.config.Headers
 	id := a.x.r.Header.Get(requestIDHeader)
+	if !hasFinalStatus(response) {
+		return "the answer has no valid status"
+	}
 	if headers.RequireRequestID && id != "" && response.Header.Get(requestIDHeader) != id {
 		return "the answer does not bear the request's id"
 	}
--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -33,7 +33,7 @@
 
 // notice returns what the response states about its backend.
 func (a *attempt) notice(response *http.Response) mustardramp.Notice {
-	if !a.answersRequest(response) {
+	if !hasFinalStatus(response) || !a.answersRequest(response) {
 		return mustardramp.Notice{}
 	}
 	if a.isWrongInstance(response) {
