--- a/internal/quorum/waiters.go
+++ b/internal/quorum/waiters.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// submit proposes the unsubmitted commands that a leader is likely to accept. Proposals that
-// were submitted to an earlier leader fail, since their outcome is unknown.
+// submit proposes the unsubmitted commands that a leader is likely to accept. Proposals
+// that were submitted to an earlier leader fail, since their outcome is unknown.
 func (w *waiters) submit(c *core) {
 	if c.leader != w.leader || c.hardState.Term != w.term {
 		w.leader, w.term = c.leader, c.hardState.Term
