--- a/internal/entry/early_cut_test.go
+++ b/internal/entry/early_cut_test.go
@@ -118,7 +118,9 @@
 		"close": {"close", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startRawBackend(t, func(conn net.Conn, _ *bufio.Reader) {
+			address := startRawBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+				// A reset before the end of the handshake would fail the dial.
+				_, _ = reader.ReadByte()
 				_, _ = io.WriteString(conn, "part")
 				connectionEndings[tc.ending](conn)
 			})
@@ -128,6 +130,9 @@
 			}
 			c := &backendConn{Conn: inner}
 			defer c.Close()
+			if _, err := c.Write([]byte("u")); err != nil {
+				t.Fatal(err)
+			}
 			if tc.wantErr {
 				for err == nil {
 					_, err = c.Write([]byte("upload"))
