Let a new leader propose its own large commands

What callers saw: a control host that became leader answered no large configuration any more, until it restarted or lost the lead.

A dump of the hung group: the leader with nothing left to apply, one proposal held back, the note set. TestNewLeaderHoldsBackLargeCommands forces it: held back before, proposed after.

Change: the note counts only at members that do not lead. The test of the backlog runs with the default tick: with 2 ms a busy machine spent its time in elections. Its checks and bounds are the same.

--- a/internal/quorum/backlog.go
+++ b/internal/quorum/backlog.go
@@ -71,10 +71,15 @@
 // mayPropose reports whether the leader is likely to accept a command. A large command
 // is not sent to a leader that would refuse it.
 func (c *core) mayPropose(command []byte) bool {
-	if c.leader == 0 {
+	switch {
+	case c.leader == 0:
 		return false
+	case len(command) <= smallCommandBytes:
+		return true
+	case c.role == leader:
+		return !c.isOverloaded()
 	}
-	return len(command) <= smallCommandBytes || !c.isLeaderOverloaded && !c.isOverloaded()
+	return !c.isLeaderOverloaded
 }
 
 // hasUnackedRoom reports whether more entries may be sent to a member.
--- a/internal/quorum/backlog_test.go
+++ b/internal/quorum/backlog_test.go
@@ -125,6 +125,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, 3)
+			// No member may take the others for lost while it handles large commands.
+			c.tick = DefaultTick
 			machines := map[mustardramp.HostName]*gatedMachine{}
 			for _, host := range c.hosts {
 				machines[host] = &gatedMachine{gate: newGate(t)}
@@ -163,6 +165,27 @@
 	}
 }
 
+// TestNewLeaderHoldsBackLargeCommands guards against a leader that holds back its own
+// large commands for good, because the leader before it refused them.
+func TestNewLeaderHoldsBackLargeCommands(t *testing.T) {
+	sim := newSimulation(t, 1, 3)
+	sim.commit(1)
+	old := sim.leader()
+	n := sim.otherNode(old)
+	n.core.step(Message{
+		Kind: MessageAppend, From: old.core.self.ID, To: n.core.self.ID, Term: old.core.hardState.Term,
+		Index: n.core.log.lastIndex(), LogTerm: n.core.log.lastTerm(), Busy: true,
+	})
+	large := make([]byte, smallCommandBytes+1)
+	if got := n.core.mayPropose(large); got {
+		t.Errorf("large command for a leader that refuses it: got %t, want it held back", got)
+	}
+	n.core.becomeLeader()
+	if got := n.core.mayPropose(large); !got {
+		t.Errorf("large command of the new leader: got %t, want it proposed", got)
+	}
+}
+
 // TestUnansweredAppendsExceedTheMemory guards against a leader that sends entries to a
 // member faster than the member takes them: they wait in the queue to that member even
 // after the leader's log has dropped them.
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -89,6 +89,7 @@
 	// accepts no entries.
 	isBehind bool
 	// isLeaderOverloaded is set while the leader states that it refuses large proposals.
+	// On the leader itself it is not valid.
 	isLeaderOverloaded bool
 	// synced is what the last finished sync covers. Entries up to its index are
 	// the same in memory and on disk.
