--- a/internal/entry/early_cut_test.go
+++ b/internal/entry/early_cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -29,10 +30,14 @@
 // and returns the status of the answer and whether the answer looks whole.
 func (f *fixture) callRaw(t *testing.T, version, method, path string, upload bool) (status int, isWhole bool) {
 	t.Helper()
-	conn, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+	scheme, address, _ := strings.Cut(f.server.URL, "://")
+	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
+	if scheme == "https" {
+		conn = tls.Client(conn, &tls.Config{InsecureSkipVerify: true})
+	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
 	head := fmt.Sprintf("%s %s HTTP/%s\r\nHost: mohor.example\r\nX-Request-Id: r1\r\n", method, path, version)
--- a/internal/entry/old_caller_test.go
+++ b/internal/entry/old_caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,22 @@
 	"time"
 )
 
+// startEncrypted starts a host that callers reach over TLS.
+func startEncrypted(t *testing.T, backend string) *serverFixture {
+	t.Helper()
+	s := &serverFixture{fixture: newFixture(t, backend)}
+	cert, _ := selfSigned(t, "host")
+	s.entryServer = NewServer(s.handler, 0, &tls.Config{Certificates: []tls.Certificate{cert}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.server.URL = "https://" + listener.Addr().String()
+	s.group.Go(func() error { return s.entryServer.Serve(listener) })
+	eventually(t, "readiness", s.entryServer.Ready)
+	return s
+}
+
 // TestCutAnswerToAnOldCaller guards against a part of an answer that a caller without
 // chunks takes for the whole, because the host closes its connection as after a whole
 // one. A whole answer must still arrive as one.
@@ -42,17 +59,21 @@
 				connectionEndings[tc.ending](conn)
 			})
 			server := newServerFixture(t, 0, address)
-			t.Cleanup(func() {
-				if err := errors.Join(server.entryServer.Stop(context.Background()), server.group.Wait()); err != nil {
-					t.Error(err)
-				}
-			})
+			encrypted := startEncrypted(t, address)
+			for _, s := range []*serverFixture{server, encrypted} {
+				t.Cleanup(func() {
+					if err := errors.Join(s.entryServer.Stop(context.Background()), s.group.Wait()); err != nil {
+						t.Error(err)
+					}
+				})
+			}
 			for name, call := range map[string]struct {
 				host *fixture
 				path string
 			}{
 				"contract":            {newFixture(t, address), "/plain/1"},
 				"contract, pipelined": {server.fixture, "/plain/1"},
+				"contract, TLS":       {encrypted.fixture, "/plain/1"},
 				"routing table":       {newTableFixture(t, address), "/reads/1"},
 			} {
 				status, isWhole := call.host.callRaw(t, "1.0", http.MethodGet, call.path, false)
