--- a/internal/entry/cut.go
+++ b/internal/entry/cut.go
@@ -51,23 +51,23 @@
 	if !x.isUnframed(response) {
 		return
 	}
-	if x.unframed = x.callerSocket(); x.unframed != nil {
-		_ = x.unframed.SetLinger(0)
+	if x.unframedSocket = x.callerSocket(); x.unframedSocket != nil {
+		_ = x.unframedSocket.SetLinger(0)
 	}
 }
 
 // markWhole lets the connection end regularly, unless a part of the response could not be
 // written.
 func (x *exchange) markWhole() {
-	if x.unframed != nil && !x.writeFailed {
-		_ = x.unframed.SetLinger(-1)
+	if x.unframedSocket != nil && !x.writeFailed {
+		_ = x.unframedSocket.SetLinger(-1)
 	}
 }
 
 // resetCaller resets the connection of a response that resetUnlessWhole has prepared. The
 // server would end TLS regularly before it closes the connection.
 func (x *exchange) resetCaller() {
-	if x.unframed != nil {
-		_ = x.unframed.Close()
+	if x.unframedSocket != nil {
+		_ = x.unframedSocket.Close()
 	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -56,9 +56,9 @@
 	responseStarted bool
 	// writeFailed is true once a part of the response could not be written.
 	writeFailed bool
-	// unframed is the caller's connection if only its end tells the caller where the
+	// unframedSocket is the caller's connection if only its end tells the caller where the
 	// response ends, and nil otherwise. It ends with a reset until markWhole is called.
-	unframed *net.TCPConn
+	unframedSocket *net.TCPConn
 }
 
 // run takes the request through every step. It returns a denial if the request
