review: case 10, a configuration without resources is acknowledged

An order that holds a version and nothing else is acknowledged and comes into force; requests on all routes get 404 (CONFIG).

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]testCase{
 	"stray": playStray,
 	"early": playEarly,
+	"cut":   playCut,
 	"gone":  playGone,
 	"shed":  playShed,
 }
