--- a/review/stand-2/fleet.go
+++ b/review/stand-2/fleet.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -45,6 +46,8 @@
 	// nextIP numbers the addresses, which share a random prefix.
 	prefix string
 	nextIP int
+	// stopping lets the processes be ended only once.
+	stopping sync.Once
 }
 
 var zones = []string{"kol-a", "sil-a", "kol-b", "sil-b"}
@@ -157,6 +160,10 @@
 
 // stopAll ends all processes that this run started.
 func (f *fleet) stopAll() {
+	f.stopping.Do(f.killAll)
+}
+
+func (f *fleet) killAll() {
 	for _, m := range f.machines() {
 		if m.cmd == nil || m.cmd.Process == nil {
 			continue
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -15,6 +18,25 @@
 	exitFailed = 2
 )
 
+// maxRunTime bounds a run; a script may take 120 s.
+const maxRunTime = 115 * time.Second
+
+// stopOnSignal ends the processes of the fleet and the case if it is interrupted or takes
+// too long.
+func (f *fleet) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case s := <-signals:
+		f.record.note("the case was interrupted: %v", s)
+	case <-time.After(maxRunTime):
+		f.record.note("the case took longer than %v", maxRunTime)
+	}
+	f.stopAll()
+	_ = os.RemoveAll(f.folder)
+	os.Exit(exitFailed)
+}
+
 // verdict is the result of a case that could run.
 type verdict struct {
 	broken bool
@@ -54,6 +76,7 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	record.note("case %s, disruption %v", os.Args[1], trouble)
 	f := newFleet(folder, record)
+	go f.stopOnSignal()
 	v, err := cases[os.Args[1]](f, trouble)
 	f.stopAll()
 	if os.Getenv("KEEP") == "" {
