Give each attempt its own reader of an uploaded body

Most other shed uploads were refused although another backend had room.

Cause: all attempts read the caller's body itself, and the transport of an ended attempt goes on reading. The host took a body for untouched until the first read; an answer between the head and that read started the next attempt while the first transport still took bytes (trace: on the old code the new test ends with 1,044,608 of 1,048,576 bytes at the second backend and with net/http's "invalid concurrent Body.Read call").

Change: one goroutine reads the body from the caller and keeps what it has read, up to 1 MiB and within the account of memory for callers. Each attempt reads that from its start; the reader of an ended attempt fails. A body whose start was dropped for lack of memory is not sent again, as before. A response before the end of the body closes its connection.

TestRetries said that bodies over 64 KiB are never sent again: the host did not hold them. The two cases now want the second backend, and two cases with bodies larger than the host holds want what they wanted before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -69,6 +69,8 @@
 	responseStarted atomic.Bool
 
 	conn *backendConn
+	// upload reads the body if it is forwarded while it arrives, and is nil otherwise.
+	upload *uploadReader
 	// keyDenial is set if the request's key was removed before the first byte.
 	keyDenial *mustardramp.Denial
 	// reused is true if the connection has carried an earlier request.
@@ -177,6 +179,9 @@
 func (a *attempt) stop() {
 	a.timer.Stop()
 	a.cancel(nil)
+	if a.upload != nil {
+		_ = a.upload.Close()
+	}
 }
 
 // isStale reports whether the attempt got a pooled connection that the backend
@@ -210,8 +215,8 @@
 		// Without Close the transport sends a body that the backend declined.
 		Close: transport == x.h.transports.fresh,
 	}).WithContext(httptrace.WithClientTrace(a.ctx, a.clientTrace()))
-	x.setRequestBody(out)
-	if x.body.stream == nil {
+	a.setRequestBody(out)
+	if x.body.upload == nil {
 		// The host already has the body, so there is nothing to wait for.
 		delete(out.Header, "Expect")
 	}
@@ -249,7 +254,7 @@
 // bodies that cannot be sent again, and a pooled one otherwise. On a pooled one a
 // backend may write the refusal of an earlier request once more.
 func (x *exchange) selectTransport() *http.Transport {
-	if !x.route.Idempotent() || x.body.stream != nil {
+	if !x.route.Idempotent() || x.body.upload != nil {
 		return x.h.transports.fresh
 	}
 	return x.h.transports.pooled
@@ -260,7 +265,7 @@
 		GotConn:        a.gotConn,
 		Got1xxResponse: a.forwardInformational,
 	}
-	if a.x.body.stream != nil || a.x.h.outbound != nil {
+	if a.x.body.upload != nil || a.x.h.outbound != nil {
 		trace.WroteRequest = a.wroteRequest
 	}
 	return trace
@@ -378,7 +383,7 @@
 			Reason: "the backend did not answer before the deadline",
 			Facts:  a.backendFacts("deadline", x.deadline.Sub(x.arrived).String()),
 		}
-	case x.body.stream != nil && x.body.stream.failed.Load():
+	case x.body.upload != nil && x.body.upload.failure() != nil:
 		return mustardramp.ResultAbandoned, &mustardramp.Denial{
 			Kind:   mustardramp.KindCallerGone,
 			Reason: "the caller did not send the whole body",
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -8,7 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -35,125 +35,149 @@
 // body.
 var errUpload = errs.Class("upload")
 
-// body is a request body, either buffered or a stream that is read once.
+// body is a request body, either buffered or forwarded while it arrives.
 type body struct {
-	// buffered is the whole body if stream is nil.
+	// buffered is the whole body if upload is nil.
 	buffered []byte
-	// reservedBytes is the body's share of the handler's body memory.
+	// reservedBytes is the share of buffered in the handler's body memory.
 	reservedBytes int64
-	stream        *uploadReader
+	upload        *upload
 }
 
 // canReplay reports whether another attempt can send the body.
 func (b *body) canReplay() bool {
-	return b.stream == nil || !b.stream.used.Load()
+	return b.upload == nil || b.upload.canReplay()
+}
+
+// isWhole reports whether the body has been read to its end.
+func (b *body) isWhole() bool {
+	return b.upload == nil || b.upload.isWhole()
 }
 
 // size returns the length in bytes, or -1 if unknown.
 func (b *body) size(r *http.Request) mustardramp.Bytes {
-	if b.stream == nil {
+	if b.upload == nil {
 		return mustardramp.Bytes(len(b.buffered))
 	}
 	return mustardramp.Bytes(r.ContentLength)
 }
 
-// uploadReader reads a caller's body for one attempt.
-type uploadReader struct {
+// callerBody reads the body from the caller.
+type callerBody struct {
+	// source is the request's body, paced on the host's link.
 	source     io.Reader
 	controller *http.ResponseController
 	// root ends when the requests in flight are aborted.
 	root         context.Context
 	stallTimeout time.Duration
-	used         atomic.Bool
-	// failed is true if the caller did not send the whole body.
-	failed atomic.Bool
-	// done is true once the body has been read to its end.
-	done atomic.Bool
 	// onEnd is called when the body has been read to its end. The trailers of the
 	// request are then known.
 	onEnd func()
+	// cancel ends a read that waits for its turn on the link.
+	cancel context.CancelFunc
+	// stopWatch ends the wait for an abort of the requests in flight.
+	stopWatch func() bool
+
+	mu sync.Mutex
+	// isInterrupted is true once reads must not wait for the caller any more.
+	isInterrupted bool
+}
+
+func (x *exchange) newCallerBody() *callerBody {
+	ctx, cancel := context.WithCancel(x.r.Context())
+	b := &callerBody{
+		source:       x.h.inbound.Reader(ctx, x.r.Body),
+		controller:   x.responseController(),
+		root:         x.h.root,
+		stallTimeout: x.h.config.StallTimeout,
+		onEnd:        x.removeWorkspaceTrailers,
+		cancel:       cancel,
+	}
+	b.stopWatch = context.AfterFunc(x.r.Context(), b.interruptIfAborted)
+	return b
 }
 
 // Read reads from the caller, and fails if the caller stalls.
-func (u *uploadReader) Read(p []byte) (int, error) {
-	u.used.Store(true)
-	_ = u.controller.SetReadDeadline(time.Now().Add(u.stallTimeout))
-	if u.root.Err() != nil {
-		// interrupt may have run before the deadline was set.
-		u.interrupt()
-	}
-	n, err := u.source.Read(p)
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.extendDeadline()
+	n, err := b.source.Read(p)
 	if err == nil {
 		return n, nil
 	}
-	_ = u.controller.SetReadDeadline(time.Time{})
+	_ = b.controller.SetReadDeadline(time.Time{})
 	if errors.Is(err, io.EOF) {
-		u.onEnd()
-		u.done.Store(true)
+		b.onEnd()
 		return n, err
 	}
-	u.failed.Store(true)
 	return n, errUpload.Wrap(err)
 }
 
+func (b *callerBody) extendDeadline() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isInterrupted {
+		_ = b.controller.SetReadDeadline(time.Now().Add(b.stallTimeout))
+	}
+}
+
 // interruptIfAborted ends a Read that waits for the caller if the requests in flight
 // were aborted.
-func (u *uploadReader) interruptIfAborted() {
-	if u.root.Err() != nil {
-		u.interrupt()
+func (b *callerBody) interruptIfAborted() {
+	if b.root.Err() != nil {
+		b.interrupt()
 	}
 }
 
 // interrupt ends a Read that waits for the caller.
-func (u *uploadReader) interrupt() {
-	_ = u.controller.SetReadDeadline(time.Now())
+func (b *callerBody) interrupt() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isInterrupted = true
+	b.cancel()
+	_ = b.controller.SetReadDeadline(time.Now())
 }
 
-// Close leaves the caller's body open: the server closes it after the
-// request, and another attempt may still read from it.
-func (u *uploadReader) Close() error {
-	return nil
+// close must be called once no Read is in progress. The server closes the request's body.
+func (b *callerBody) close() {
+	b.stopWatch()
+	b.cancel()
+	_ = b.controller.SetReadDeadline(time.Time{})
 }
 
 // readBody buffers the body if it is short or belongs to a keyed operation, and
-// streams it otherwise.
+// forwards it while it arrives otherwise.
 func (x *exchange) readBody() *mustardramp.Denial {
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return nil
 	}
 	if limit := x.bodyLimit(); limit > 0 && x.r.ContentLength < 0 {
-		x.r.Body = http.MaxBytesReader(x.w, x.r.Body, int64(limit))
+		// Reads may run beside the handler, so the reader must not change the response.
+		x.r.Body = http.MaxBytesReader(nil, x.r.Body, int64(limit))
 	}
-	stream := &uploadReader{source: x.h.inbound.Reader(x.r.Context(), x.r.Body), controller: x.responseController(), root: x.h.root, stallTimeout: x.h.config.StallTimeout, onEnd: x.removeWorkspaceTrailers}
 	x.removeWorkspaceTrailers()
-	context.AfterFunc(x.r.Context(), stream.interruptIfAborted)
+	caller := x.newCallerBody()
 	length := x.r.ContentLength
-	if x.key == "" && (length < 0 || length > MaxReplayBytes) {
-		x.streamBody(stream)
+	isShort := length >= 0 && length <= MaxReplayBytes
+	if x.key == "" && (!isShort || !x.reserveMemory(length)) {
+		x.startUpload(caller)
 		return nil
 	}
-	if length > MaxKeyedBytes {
+	defer caller.close()
+	switch {
+	case length > MaxKeyedBytes:
 		return keyedBodyTooLarge()
+	case x.key != "" && !x.reserveMemory(length):
+		return noBodyMemoryDenial()
 	}
-	if !x.reserveMemory(length) {
-		if x.key == "" {
-			x.streamBody(stream)
-			return nil
-		}
-		return &mustardramp.Denial{
-			Kind:       mustardramp.KindQueueFull,
-			Reason:     "the host holds as many request bodies as it may",
-			RetryAfter: time.Second,
-		}
-	}
-	return x.bufferBody(stream, length)
+	return x.bufferBody(caller, length)
 }
 
-// streamBody forwards the body as it arrives. The backend may respond before
-// the whole body has been read.
-func (x *exchange) streamBody(stream *uploadReader) {
-	_ = stream.controller.EnableFullDuplex()
-	x.body.stream = stream
+func noBodyMemoryDenial() *mustardramp.Denial {
+	return &mustardramp.Denial{
+		Kind:       mustardramp.KindQueueFull,
+		Reason:     "the host holds as many request bodies as it may",
+		RetryAfter: time.Second,
+	}
 }
 
 func keyedBodyTooLarge() *mustardramp.Denial {
@@ -170,26 +194,46 @@
 	if length < 0 {
 		length = MaxKeyedBytes
 	}
-	if x.h.heldBodyBytes.Add(length) > int64(x.h.config.BodyMemory) {
-		x.h.heldBodyBytes.Add(-length)
+	if !x.h.reserveBody(length, length) {
 		return false
 	}
-	if !x.h.config.Account.Reserve(mustardramp.Bytes(length), mustardramp.Bytes(length)) {
-		x.h.heldBodyBytes.Add(-length)
+	x.body.reservedBytes = length
+	return true
+}
+
+// reserveBody reserves n more bytes for a body of which total bytes are held with them,
+// and reports whether there was room.
+func (h *Handler) reserveBody(n, total int64) bool {
+	if h.heldBodyBytes.Add(n) > int64(h.config.BodyMemory) {
+		h.heldBodyBytes.Add(-n)
+		return false
+	}
+	if !h.config.Account.Reserve(mustardramp.Bytes(n), mustardramp.Bytes(total)) {
+		h.heldBodyBytes.Add(-n)
 		return false
 	}
-	x.body.reservedBytes = length
 	return true
 }
 
-func (x *exchange) bufferBody(stream *uploadReader, length int64) *mustardramp.Denial {
+// holdBody reserves n bytes for a body even if there is no room.
+func (h *Handler) holdBody(n int64) {
+	h.heldBodyBytes.Add(n)
+	h.config.Account.Hold(mustardramp.Bytes(n))
+}
+
+// releaseBody releases n bytes that were reserved for a body.
+func (h *Handler) releaseBody(n int64) {
+	h.heldBodyBytes.Add(-n)
+	h.config.Account.Release(mustardramp.Bytes(n))
+}
+
+func (x *exchange) bufferBody(caller *callerBody, length int64) *mustardramp.Denial {
 	var err error
 	if length >= 0 {
 		x.body.buffered = make([]byte, length)
-		_, err = io.ReadFull(stream, x.body.buffered)
-		_ = stream.controller.SetReadDeadline(time.Time{})
+		_, err = io.ReadFull(caller, x.body.buffered)
 	} else {
-		x.body.buffered, err = io.ReadAll(io.LimitReader(stream, MaxKeyedBytes+1))
+		x.body.buffered, err = io.ReadAll(io.LimitReader(caller, MaxKeyedBytes+1))
 	}
 	if err != nil && x.h.root.Err() != nil {
 		return x.interruptedDenial(x.h.root)
@@ -205,8 +249,7 @@
 
 // releaseBodyMemory releases the memory reserved for the body.
 func (x *exchange) releaseBodyMemory() {
-	x.h.heldBodyBytes.Add(-x.body.reservedBytes)
-	x.h.config.Account.Release(mustardramp.Bytes(x.body.reservedBytes))
+	x.h.releaseBody(x.body.reservedBytes)
 	x.body.reservedBytes = 0
 }
 
@@ -220,15 +263,17 @@
 	return digest
 }
 
-// setRequestBody sets the body of an attempt's request. It leaves GetBody unset,
+// setRequestBody sets the body of the attempt's request. It leaves GetBody unset,
 // so that the transport cannot read the body a second time.
-func (x *exchange) setRequestBody(out *http.Request) {
+func (a *attempt) setRequestBody(out *http.Request) {
+	x := a.x
 	out.Body = http.NoBody
 	switch {
-	case x.body.stream != nil:
-		out.Body = x.body.stream
+	case x.body.upload != nil:
+		a.upload = x.body.upload.newReader()
+		out.Body = pacedUpload{x.h.outbound.Reader(out.Context(), a.upload), a.upload}
 		out.ContentLength = x.r.ContentLength
-		out.Trailer = x.r.Trailer
+		out.Trailer = a.upload.trailer
 	case len(x.body.buffered) > 0:
 		out.Body = io.NopCloser(x.h.outbound.Reader(out.Context(), bytes.NewReader(x.body.buffered)))
 		out.ContentLength = int64(len(x.body.buffered))
@@ -239,3 +284,9 @@
 		}
 	}
 }
+
+// pacedUpload reads an upload at the rate of the host's link.
+type pacedUpload struct {
+	io.Reader
+	io.Closer
+}
--- a/internal/entry/cut.go
+++ b/internal/entry/cut.go
@@ -41,7 +41,7 @@
 // connection is reset: a caller that still sends its body may learn of the reset from
 // there.
 func (x *exchange) mayHideCut(response *http.Response) bool {
-	return x.isUnframed(response) && x.body.stream != nil && !x.body.stream.done.Load()
+	return x.isUnframed(response) && !x.body.isWhole()
 }
 
 // resetUnlessWhole prepares an unframed response. Until markWhole is called, the end of
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -54,6 +54,8 @@
 	refusalKind mustardramp.RefusalKind
 	// responseStarted is true once the response status has been written.
 	responseStarted bool
+	// isAborted is true if the response was cut off.
+	isAborted bool
 	// writeFailed is true once a part of the response could not be written.
 	writeFailed bool
 	// unframedSocket is the caller's connection if only its end tells the caller where the
@@ -412,6 +414,7 @@
 
 // finish releases the request's memory and records its measurements.
 func (x *exchange) finish() {
+	defer x.endUpload()
 	x.releaseBodyMemory()
 	x.returnUnusedToken()
 	if x.service != nil && x.refusalKind == mustardramp.KindUnknown {
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -31,7 +31,7 @@
 	if !x.contract.Hedge || !read || !x.route.Idempotent() {
 		return nil
 	}
-	if x.claim != nil || x.body.stream != nil || len(x.body.buffered) > 0 {
+	if x.claim != nil || x.body.upload != nil || len(x.body.buffered) > 0 {
 		return nil
 	}
 	return x.service.hedgePolicy()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -279,6 +279,7 @@
 	a.releaseSlot(result)
 	a.x.refuse(&mustardramp.Denial{Kind: kind, Reason: reason, Facts: a.backendFacts("error", err.Error())})
 	a.x.resetCaller()
+	a.x.isAborted = true
 	panic(http.ErrAbortHandler)
 }
 
@@ -297,6 +298,13 @@
 // an earlier request may still be set.
 func (x *exchange) writeStatus(status int) {
 	x.responseStarted = true
+	if x.body.upload != nil {
+		x.body.upload.markLast()
+	}
+	if x.r.ProtoMajor == 1 && !x.body.isWhole() {
+		// The next request could not be told from the rest of the body.
+		x.w.Header().Set("Connection", "close")
+	}
 	x.extendWriteDeadline()
 	x.w.WriteHeader(status)
 }
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -31,7 +31,7 @@
 	})
 	echo := startBackend(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
 	dead := unusedAddress(t)
-	small, large := "small", strings.Repeat("l", MaxReplayBytes+1)
+	small, large, huge := "small", strings.Repeat("l", MaxReplayBytes+1), strings.Repeat("h", 2*maxUploadBytes)
 	tests := map[string]struct {
 		method, path, body string
 		backends           []string
@@ -43,7 +43,8 @@
 		"lost, idempotent":                   {"PUT", "/files/a", small, []string{lost, echo}, 9, 200, small, 2},
 		"lost, no retry":                     {"PUT", "/plain/a", small, []string{lost, echo}, 9, 502, "", 1},
 		"lost, once":                         {"POST", "/stamps", small, []string{lost, echo}, 9, 502, "", 1},
-		"lost, large body":                   {"PUT", "/files/a", large, []string{lost, echo}, 9, 502, "", 1},
+		"lost, large body":                   {"PUT", "/files/a", large, []string{lost, echo}, 9, 200, large, 2},
+		"lost, body too large to hold":       {"PUT", "/files/a", huge, []string{lost, echo}, 9, 502, "", 1},
 		"lost twice":                         {"PUT", "/files/a", small, []string{lost, cut, echo}, 9, 200, small, 3},
 		"bound on attempts":                  {"GET", "/files/a", "", []string{lost, cut, shed, echo}, 9, 503, "", 3},
 		"no budget":                          {"PUT", "/files/a", small, []string{lost, echo}, 0, 502, "", 1},
@@ -57,7 +58,8 @@
 		"error, no retry":                    {"PUT", "/plain/a", small, []string{failing, echo}, 9, 502, "backend's own words", 1},
 		"shed, once":                         {"POST", "/stamps", small, []string{shed, echo}, 9, 200, small, 2},
 		"shed, no retry":                     {"PUT", "/plain/a", small, []string{shed, echo}, 9, 200, small, 2},
-		"shed, body already sent":            {"PUT", "/uploads/a", large, []string{shed, echo}, 9, 503, "", 1},
+		"shed, large body":                   {"PUT", "/uploads/a", large, []string{shed, echo}, 9, 200, large, 2},
+		"shed, body too large to hold":       {"PUT", "/uploads/a", huge, []string{shed, echo}, 9, 503, "", 1},
 		"dial, once, unread body":            {"PUT", "/uploads/a", large, []string{dead, echo}, 9, 200, large, 2},
 		"dial, lost, once: no third attempt": {"POST", "/stamps", small, []string{dead, lost, echo}, 9, 502, "", 2},
 	}
--- /dev/null
+++ b/internal/entry/upload.go
@@ -0,0 +1,343 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// maxUploadBytes is how much of one streamed body the host holds.
+	maxUploadBytes = 1 << 20
+	// uploadBlockBytes is the size of the blocks that hold it.
+	uploadBlockBytes = 16 << 10
+	// uploadRoomInterval is the interval at which an upload that found no memory looks for
+	// some again.
+	uploadRoomInterval = 20 * time.Millisecond
+	// lingerTime and lingerBytes bound how much of an upload is read after its response.
+	// Closing a connection with unread bytes resets it, and the caller may lose the response.
+	lingerTime  = 250 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+// upload is a request body that is forwarded while it arrives. One goroutine reads it from
+// the caller, ahead of the attempts as far as there is memory. Each attempt reads it through
+// an uploadReader of its own, from the start of the body, for as long as the upload holds
+// that.
+type upload struct {
+	handler *Handler
+	request *http.Request
+	// caller is read by receive alone.
+	caller *callerBody
+
+	group errgroup.Group
+	mu    sync.Mutex
+	// changed is signaled after each change that receive or a reader may wait for.
+	changed sync.Cond
+	// blocks hold the bytes from start to end. All have the capacity uploadBlockBytes but
+	// the last, and all but the last are full.
+	blocks     [][]byte
+	start, end int64
+	// reserved is the sum of the capacities of blocks.
+	reserved int64
+	// trailer holds the announced trailers without values until the body has ended.
+	trailer http.Header
+	// err is io.EOF once the body has been read to its end, and another error if the
+	// caller did not send it whole.
+	err error
+	// reader is that of the attempt in progress, or nil.
+	reader *uploadReader
+	// isStarted is true once receive runs.
+	isStarted bool
+	// isLast is true if no attempt follows the one in progress, so that what it has read
+	// need not be kept.
+	isLast bool
+	// isOver is true once the response is written. What still arrives is counted in
+	// discarded and not held.
+	isOver    bool
+	discarded int
+}
+
+// begin starts to read from the caller unless that has begun.
+func (u *upload) begin() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.beginLocked()
+}
+
+func (u *upload) beginLocked() {
+	if !u.isStarted && !u.isOver {
+		u.isStarted = true
+		u.group.Go(u.receive)
+	}
+}
+
+// receive reads the body from the caller until it ends or the upload is over.
+func (u *upload) receive() error {
+	for {
+		p := u.awaitRoom()
+		if p == nil {
+			return nil
+		}
+		n, err := u.caller.Read(p)
+		if !u.add(n, err) {
+			return nil
+		}
+	}
+}
+
+// add notes the result of a read into the room that awaitRoom has returned. It reports
+// whether more is to be read.
+func (u *upload) add(n int, err error) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	defer u.changed.Broadcast()
+	if u.isOver {
+		u.discarded += n
+	} else {
+		last := &u.blocks[len(u.blocks)-1]
+		*last = (*last)[:len(*last)+n]
+		u.end += int64(n)
+	}
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, io.EOF):
+		u.err, u.trailer = io.EOF, u.request.Trailer
+	default:
+		u.err = err
+	}
+	return false
+}
+
+// awaitRoom waits for memory for further bytes and returns it, or nil if no more are to
+// be read.
+func (u *upload) awaitRoom() []byte {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for {
+		if u.isOver {
+			return u.roomToDiscard()
+		}
+		if n := len(u.blocks); n > 0 && len(u.blocks[n-1]) < cap(u.blocks[n-1]) {
+			last := u.blocks[n-1]
+			return last[len(last):cap(last)]
+		}
+		if !u.addBlock() {
+			u.wait()
+		}
+	}
+}
+
+// roomToDiscard returns a buffer for bytes that are not held, or nil if enough were read.
+func (u *upload) roomToDiscard() []byte {
+	if u.discarded >= lingerBytes {
+		return nil
+	}
+	return make([]byte, uploadBlockBytes)
+}
+
+// wait waits for a change, or for the time after which there may be memory again.
+func (u *upload) wait() {
+	timer := time.AfterFunc(uploadRoomInterval, func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.changed.Broadcast()
+	})
+	u.changed.Wait()
+	timer.Stop()
+}
+
+// addBlock adds an empty block and reports whether there was memory for it. The first
+// block of an attempt in progress needs none: without it the attempt would stand still.
+func (u *upload) addBlock() bool {
+	if u.isLast && u.reuseBlock() {
+		return true
+	}
+	size := int64(uploadBlockBytes)
+	if length := u.request.ContentLength; length >= 0 {
+		// The last byte of a body of known length usually comes with its end.
+		size = max(1, min(size, length-u.end))
+	}
+	total := u.reserved + size
+	switch {
+	case total <= maxUploadBytes && u.handler.reserveBody(size, total):
+	case u.reuseBlock():
+		return true
+	case u.reader != nil && len(u.blocks) == 0:
+		u.handler.holdBody(size)
+	default:
+		return false
+	}
+	u.reserved = total
+	u.blocks = append(u.blocks, make([]byte, 0, size))
+	return true
+}
+
+// reuseBlock makes the first block the last one if the attempt in progress has read it.
+// The body can then not be sent again.
+func (u *upload) reuseBlock() bool {
+	if u.reader == nil || len(u.blocks) == 0 || u.reader.offset < u.start+int64(len(u.blocks[0])) {
+		return false
+	}
+	first := u.blocks[0]
+	u.start += int64(len(first))
+	u.blocks = append(u.blocks[1:], first[:0])
+	return true
+}
+
+// canReplay reports whether the upload holds the body from its start.
+func (u *upload) canReplay() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.start == 0 && !u.isOver
+}
+
+// isWhole reports whether the body has been read to its end.
+func (u *upload) isWhole() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.err == io.EOF
+}
+
+// failure returns why the caller did not send the whole body, or nil.
+func (u *upload) failure() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.err == io.EOF {
+		return nil
+	}
+	return u.err
+}
+
+// markLast notes that no attempt follows the one in progress.
+func (u *upload) markLast() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isLast = true
+}
+
+// release releases the memory of the upload. Its readers fail from then on.
+func (u *upload) release() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.isOver = true
+	u.handler.releaseBody(u.reserved)
+	u.blocks, u.reserved = nil, 0
+	u.changed.Broadcast()
+}
+
+// close ends the upload after the response. It reads and discards what the caller still
+// sends, at most for a time.
+func (u *upload) close(linger time.Duration) {
+	u.release()
+	timer := time.AfterFunc(linger, u.interrupt)
+	_ = u.group.Wait()
+	timer.Stop()
+	u.caller.close()
+}
+
+// interrupt ends the upload unless the body has ended.
+func (u *upload) interrupt() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.isStarted && u.err == nil {
+		u.caller.interrupt()
+	}
+}
+
+// newReader returns a reader for an attempt, from the start of the body. The reader of the
+// attempt before must be closed.
+func (u *upload) newReader() *uploadReader {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reader = &uploadReader{upload: u, trailer: maps.Clone(u.trailer), isClosed: u.start > 0}
+	return u.reader
+}
+
+// uploadReader reads an upload for one attempt. The transport may read from it until after
+// the attempt has ended, which takes nothing from the attempts that follow.
+type uploadReader struct {
+	upload *upload
+	// offset and isClosed are guarded by upload.mu.
+	offset   int64
+	isClosed bool
+	// trailer has the announced trailers, and their values once Read has returned io.EOF.
+	trailer http.Header
+}
+
+// Read reads bytes that the upload holds, or waits for them.
+func (r *uploadReader) Read(p []byte) (int, error) {
+	u := r.upload
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for {
+		switch {
+		case r.isClosed || u.isOver:
+			return 0, errFenced
+		case r.offset < u.end:
+			return r.copy(p), nil
+		case u.err == io.EOF:
+			for name := range r.trailer {
+				r.trailer[name] = u.trailer[name]
+			}
+			return 0, io.EOF
+		case u.err != nil:
+			return 0, u.err
+		}
+		u.beginLocked()
+		u.changed.Wait()
+	}
+}
+
+// copy copies bytes of one block.
+func (r *uploadReader) copy(p []byte) int {
+	u := r.upload
+	at := r.offset - u.start
+	block := u.blocks[at/uploadBlockBytes]
+	n := copy(p, block[at%uploadBlockBytes:])
+	r.offset += int64(n)
+	u.changed.Broadcast()
+	return n
+}
+
+// Close ends the reader. The server closes the caller's body after the request.
+func (r *uploadReader) Close() error {
+	u := r.upload
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	r.isClosed = true
+	if u.reader == r {
+		u.reader = nil
+	}
+	u.changed.Broadcast()
+	return nil
+}
+
+// startUpload makes the body one that is forwarded while it arrives. The backend may
+// respond before the whole body has been read.
+func (x *exchange) startUpload(caller *callerBody) {
+	_ = caller.controller.EnableFullDuplex()
+	u := &upload{handler: x.h, request: x.r, caller: caller, trailer: maps.Clone(x.r.Trailer)}
+	u.changed.L = &u.mu
+	x.body.upload = u
+}
+
+// endUpload ends the upload of a request whose response is written.
+func (x *exchange) endUpload() {
+	u := x.body.upload
+	if u == nil {
+		return
+	}
+	linger := time.Duration(0)
+	if x.responseStarted && !x.isAborted && x.r.ProtoMajor == 1 && !u.isWhole() {
+		x.flush()
+		linger = lingerTime
+	}
+	u.close(linger)
+}
