Notice callers that leave while their uploads wait

Cause: net/http learns of the end of a connection by reading from it, and nobody read. A body of more than 64 KiB or in chunks was first read when it was forwarded; a further request behind a body stops the server's own reads.

Change: the upload is read from the caller while the request waits, within the account of memory. A failure ends the wait. Without memory nothing of it can be read, so an upload that has waited for 250 ms without being read on is refused as not run; one that finds a slot before is forwarded. While a request waits the state of the caller's socket is asked for, which shows the end behind unread bytes that have arrived, and once more before a request that has waited in any step is sent. A body in chunks that exceeds the table's limit is refused with 413 before it is sent.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -108,7 +108,7 @@
 	if x.route.Once {
 		return x.h.nextDetachedContext()
 	}
-	return x.r.Context()
+	return x.ctx
 }
 
 func (x *exchange) newAttempt(parent context.Context, slot mustardramp.Slot) *attempt {
@@ -384,12 +384,9 @@
 			Facts:  a.backendFacts("deadline", x.deadline.Sub(x.arrived).String()),
 		}
 	case x.body.upload != nil && x.body.upload.failure() != nil:
-		return mustardramp.ResultAbandoned, &mustardramp.Denial{
-			Kind:   mustardramp.KindCallerGone,
-			Reason: "the caller did not send the whole body",
-		}
-	case !x.route.Once && x.r.Context().Err() != nil:
-		return mustardramp.ResultAbandoned, x.interruptedDenial(x.r.Context())
+		return mustardramp.ResultAbandoned, uploadDenial(x.body.upload.failure())
+	case !x.route.Once && x.ctx.Err() != nil:
+		return mustardramp.ResultAbandoned, x.interruptedDenial(x.ctx)
 	case errDial.Has(err):
 		return mustardramp.ResultDial, &mustardramp.Denial{
 			Kind:   mustardramp.KindDial,
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -31,9 +31,11 @@
 // DefaultStallTimeout is the longest time without progress in a body.
 const DefaultStallTimeout = 60 * time.Second
 
-// errUpload is the class of errors for a caller that did not send its whole
-// body.
-var errUpload = errs.Class("upload")
+var (
+	// errUpload is the class of errors for a caller that did not send its whole body.
+	errUpload       = errs.Class("upload")
+	errNoBodyMemory = errs.New("the host holds as many request bodies as it may")
+)
 
 // body is a request body, either buffered or forwarded while it arrives.
 type body struct {
@@ -175,7 +177,7 @@
 func noBodyMemoryDenial() *mustardramp.Denial {
 	return &mustardramp.Denial{
 		Kind:       mustardramp.KindQueueFull,
-		Reason:     "the host holds as many request bodies as it may",
+		Reason:     errNoBodyMemory.Error(),
 		RetryAfter: time.Second,
 	}
 }
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -121,14 +121,14 @@
 		return true
 	case <-ctx.Done():
 		return false
-	case <-x.r.Context().Done():
+	case <-x.ctx.Done():
 		return false
 	}
 }
 
 func (x *exchange) claimFailedDenial(err error) *mustardramp.Denial {
-	if x.r.Context().Err() != nil {
-		return x.interruptedDenial(x.r.Context())
+	if x.ctx.Err() != nil {
+		return x.interruptedDenial(x.ctx)
 	}
 	return ledgerDenial("the ledger did not confirm the claim, so nothing was sent", err)
 }
@@ -142,8 +142,8 @@
 }
 
 func (x *exchange) inFlightDenial() *mustardramp.Denial {
-	if x.r.Context().Err() != nil {
-		return x.interruptedDenial(x.r.Context())
+	if x.ctx.Err() != nil {
+		return x.interruptedDenial(x.ctx)
 	}
 	return &mustardramp.Denial{
 		Kind:       mustardramp.KindInFlight,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -230,6 +230,8 @@
 		arrived: h.config.Clock.Now(),
 		verdict: mustardramp.VerdictNotRun(),
 	}
+	x.ctx, x.cancel = context.WithCancelCause(r.Context())
+	defer x.cancel(nil)
 	x.caller, x.callerStable = h.identifyCaller(r)
 	defer x.finish()
 	if denial := x.run(); denial != nil {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -15,9 +15,15 @@
 
 // exchange is the state of one request while the host handles it.
 type exchange struct {
-	h       *Handler
-	w       http.ResponseWriter
-	r       *http.Request
+	h *Handler
+	w http.ResponseWriter
+	r *http.Request
+	// ctx is that of the request. It also ends when callerWatch or the upload finds that
+	// the request cannot be served any more.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// watch is nil before the request has to wait.
+	watch   *callerWatch
 	arrived time.Time
 	// deadline is when the first byte of the response is due.
 	deadline time.Time
@@ -163,6 +169,10 @@
 	if limit <= 0 || mustardramp.Bytes(x.r.ContentLength) <= limit {
 		return nil
 	}
+	return bodyTooLarge(limit)
+}
+
+func bodyTooLarge(limit mustardramp.Bytes) *mustardramp.Denial {
 	return &mustardramp.Denial{
 		Kind:   mustardramp.KindBodyTooLarge,
 		Reason: "the body is longer than the routing table allows",
@@ -330,12 +340,28 @@
 	if !started.Before(x.deadline) {
 		return nil, context.DeadlineExceeded
 	}
+	x.watchCaller()
+	defer x.continueAfter(continueTime)()
 	// The pool observes the demand's deadline, so the context needs none.
-	slot, err := x.service.Pool.Acquire(x.r.Context(), x.newDemand())
+	slot, err := x.service.Pool.Acquire(x.ctx, x.newDemand())
 	x.slotWait += x.h.config.Clock.Now().Sub(started)
+	x.checkCaller()
+	if err == nil && x.ctx.Err() != nil {
+		slot.Release(mustardramp.ResultAbandoned, 0)
+		return nil, x.ctx.Err()
+	}
 	return slot, err
 }
 
+// continueAfter lets a caller that asks before it sends its body send it after a time. The
+// function that it returns ends the wait.
+func (x *exchange) continueAfter(d time.Duration) func() bool {
+	if x.body.upload == nil || !x.awaitsContinue() {
+		return func() bool { return false }
+	}
+	return time.AfterFunc(d, x.body.upload.begin).Stop
+}
+
 func (x *exchange) newDemand() mustardramp.Demand {
 	var target time.Time
 	if x.route.Target > 0 {
@@ -359,8 +385,8 @@
 	switch {
 	case errors.As(err, &denial):
 		return denial
-	case x.r.Context().Err() != nil:
-		return x.interruptedDenial(x.r.Context())
+	case x.ctx.Err() != nil:
+		return x.interruptedDenial(x.ctx)
 	default:
 		return &mustardramp.Denial{
 			Kind:   mustardramp.KindDeadline,
@@ -372,10 +398,26 @@
 
 // interruptedDenial returns the denial for a request whose context ended.
 func (x *exchange) interruptedDenial(ctx context.Context) *mustardramp.Denial {
-	if errors.Is(context.Cause(ctx), errAborted) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errAborted):
 		return &mustardramp.Denial{Kind: mustardramp.KindStopping, Reason: "the host had to end before the request did"}
+	case errors.Is(cause, errNoBodyMemory):
+		return noBodyMemoryDenial()
+	case errUpload.Has(cause):
+		return uploadDenial(cause)
+	default:
+		return &mustardramp.Denial{Kind: mustardramp.KindCallerGone, Reason: "the caller went away"}
+	}
+}
+
+// uploadDenial returns the denial for a request whose caller did not send the whole body.
+func uploadDenial(err error) *mustardramp.Denial {
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return bodyTooLarge(mustardramp.Bytes(tooLong.Limit))
 	}
-	return &mustardramp.Denial{Kind: mustardramp.KindCallerGone, Reason: "the caller went away"}
+	return &mustardramp.Denial{Kind: mustardramp.KindCallerGone, Reason: "the caller did not send the whole body"}
 }
 
 // canRetry reports whether a further attempt may follow a failed one. It
@@ -387,7 +429,7 @@
 		return false
 	case !x.body.canReplay():
 		return false
-	case x.r.Context().Err() != nil || !now.Before(x.deadline):
+	case x.ctx.Err() != nil || !now.Before(x.deadline):
 		return false
 	case x.sendCount >= x.attemptLimit() || len(x.tried) >= maxDials:
 		return false
@@ -415,6 +457,9 @@
 // finish releases the request's memory and records its measurements.
 func (x *exchange) finish() {
 	defer x.endUpload()
+	if x.watch != nil {
+		x.watch.stop()
+	}
 	x.releaseBodyMemory()
 	x.returnUnusedToken()
 	if x.service != nil && x.refusalKind == mustardramp.KindUnknown {
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -62,12 +62,24 @@
 	withdrawn map[mustardramp.BackendID]bool
 	// onAcquire may be nil. It is called at the start of Acquire.
 	onAcquire func()
+	// opened may be nil. Acquire waits until it is closed.
+	opened chan struct{}
+	// leftCount counts the demands whose context ended while they waited for opened.
+	leftCount atomic.Int64
 }
 
 func (p *fakePool) Acquire(ctx context.Context, demand mustardramp.Demand) (mustardramp.Slot, error) {
 	if p.onAcquire != nil {
 		p.onAcquire()
 	}
+	if p.opened != nil {
+		select {
+		case <-p.opened:
+		case <-ctx.Done():
+			p.leftCount.Add(1)
+			return nil, ctx.Err()
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.demands = append(p.demands, demand)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -144,7 +144,7 @@
 		return mustardramp.ResultAbandoned, mustardramp.KindStopping, "the host had to end before the request did"
 	case errors.Is(cause, errStall), errors.Is(cause, errTimeout):
 		return mustardramp.ResultTimeout, mustardramp.KindTruncated, "the backend's answer stalled"
-	case !a.x.route.Once && a.x.r.Context().Err() != nil:
+	case !a.x.route.Once && a.x.ctx.Err() != nil:
 		return mustardramp.ResultAbandoned, mustardramp.KindCallerGone, "the caller went away"
 	default:
 		return mustardramp.ResultTruncated, mustardramp.KindTruncated, "the backend's answer ended before it was whole"
--- a/internal/entry/table_test.go
+++ b/internal/entry/table_test.go
@@ -255,6 +255,17 @@
 		t.Errorf("got %+v, want the limits of the table", got)
 	}
 	f.wantRefusal(t, f.send(t, "POST", "/acts/a", "eleven byte"), mustardramp.KindBodyTooLarge, mustardramp.VerdictNotRun())
+	// The host learns of the length while the request waits.
+	f.pool.opened = make(chan struct{})
+	chunked, _ := http.NewRequest("POST", f.server.URL+"/acts/a", io.MultiReader(strings.NewReader("eleven byte")))
+	chunked.Host = "mohor.example"
+	response, err := http.DefaultTransport.RoundTrip(chunked)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	f.wantRefusal(t, response, mustardramp.KindBodyTooLarge, mustardramp.VerdictNotRun())
+	close(f.pool.opened)
 	if got := f.send(t, "POST", "/acts/a", "ten bytes!"); got.StatusCode != http.StatusOK || ran.Load() != 1 {
 		t.Errorf("got status %d and %d runs, want 200 and one run", got.StatusCode, ran.Load())
 	}
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"maps"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +21,12 @@
 	// uploadRoomInterval is the interval at which an upload that found no memory looks for
 	// some again.
 	uploadRoomInterval = 20 * time.Millisecond
+	// maxUnwatchedTime is how long an upload may wait for a backend while nothing more of it
+	// can be read for lack of memory: what the caller does then is not seen.
+	maxUnwatchedTime = 250 * time.Millisecond
+	// continueTime is the time after which a caller that asks before it sends its body is
+	// told to send it, although no backend has answered.
+	continueTime = time.Second
 	// lingerTime and lingerBytes bound how much of an upload is read after its response.
 	// Closing a connection with unread bytes resets it, and the caller may lose the response.
 	lingerTime  = 250 * time.Millisecond
@@ -34,6 +42,9 @@
 	request *http.Request
 	// caller is read by receive alone.
 	caller *callerBody
+	// fail is called with the reason if the request cannot be served: the caller did not
+	// send the whole body, or the host has no memory for it.
+	fail context.CancelCauseFunc
 
 	group errgroup.Group
 	mu    sync.Mutex
@@ -54,6 +65,8 @@
 	reader *uploadReader
 	// isStarted is true once receive runs.
 	isStarted bool
+	// unwatchedSince is when an upload without an attempt found no memory, or zero.
+	unwatchedSince time.Time
 	// isLast is true if no attempt follows the one in progress, so that what it has read
 	// need not be kept.
 	isLast bool
@@ -94,6 +107,9 @@
 // add notes the result of a read into the room that awaitRoom has returned. It reports
 // whether more is to be read.
 func (u *upload) add(n int, err error) bool {
+	if err != nil && !errors.Is(err, io.EOF) {
+		defer u.fail(err)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	defer u.changed.Broadcast()
@@ -128,9 +144,26 @@
 			last := u.blocks[n-1]
 			return last[len(last):cap(last)]
 		}
-		if !u.addBlock() {
-			u.wait()
+		if u.addBlock() {
+			u.unwatchedSince = time.Time{}
+			continue
 		}
+		u.checkUnwatched()
+		u.wait()
+	}
+}
+
+// checkUnwatched fails the upload if it has waited for a backend and for memory for too
+// long. An upload of which as much is held as may be is left to callerWatch.
+func (u *upload) checkUnwatched() {
+	now := time.Now()
+	switch {
+	case u.reader != nil || u.reserved+uploadBlockBytes > maxUploadBytes:
+		u.unwatchedSince = time.Time{}
+	case u.unwatchedSince.IsZero():
+		u.unwatchedSince = now
+	case now.Sub(u.unwatchedSince) >= maxUnwatchedTime:
+		u.fail(errNoBodyMemory)
 	}
 }
 
@@ -323,9 +356,19 @@
 // respond before the whole body has been read.
 func (x *exchange) startUpload(caller *callerBody) {
 	_ = caller.controller.EnableFullDuplex()
-	u := &upload{handler: x.h, request: x.r, caller: caller, trailer: maps.Clone(x.r.Trailer)}
+	u := &upload{handler: x.h, request: x.r, caller: caller, fail: x.cancel, trailer: maps.Clone(x.r.Trailer)}
 	u.changed.L = &u.mu
 	x.body.upload = u
+	if !x.awaitsContinue() {
+		// While the body is read, the end of the caller's connection is noticed.
+		u.begin()
+	}
+}
+
+// awaitsContinue reports whether the caller asks before it sends its body. Backends answer
+// that.
+func (x *exchange) awaitsContinue() bool {
+	return strings.EqualFold(x.r.Header.Get("Expect"), "100-continue")
 }
 
 // endUpload ends the upload of a request whose response is written.
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -124,11 +124,12 @@
 	if !x.needsToken() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(x.h.config.Clock.Now()))
+	x.watchCaller()
+	ctx, cancel := context.WithTimeout(x.ctx, x.deadline.Sub(x.h.config.Clock.Now()))
 	defer cancel()
 	denial := x.h.config.Quotas.Take(ctx, x.workspace.Name, x.workspace.Quota)
-	if denial != nil && x.r.Context().Err() != nil {
-		return x.interruptedDenial(x.r.Context())
+	if denial != nil && x.ctx.Err() != nil {
+		return x.interruptedDenial(x.ctx)
 	}
 	x.hasToken = denial == nil
 	return denial
