Release what the last attempt has read of an upload

Cause: an upload held what it had read until the caller had read the whole response, although no further attempt could follow (found by reading the code; TestAnsweredUploadIsNotHeld). An attempt that followed a wait also asked the backend before it sent a body that the caller was sending already.

Change: once the response begins, blocks are released as soon as they are read. Expect is left out once the host reads the body.

Check: the tests of uploads, of callers that leave, of retries and of cut answers hold with the race detector.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -216,8 +216,8 @@
 		Close: transport == x.h.transports.fresh,
 	}).WithContext(httptrace.WithClientTrace(a.ctx, a.clientTrace()))
 	a.setRequestBody(out)
-	if x.body.upload == nil {
-		// The host already has the body, so there is nothing to wait for.
+	if x.body.upload == nil || x.body.upload.hasBegun() {
+		// The caller sends the body in any case, so there is nothing to wait for.
 		delete(out.Header, "Expect")
 	}
 	return transport.RoundTrip(out)
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -248,11 +248,35 @@
 	return u.err
 }
 
-// markLast notes that no attempt follows the one in progress.
+// markLast notes that no attempt follows the one in progress, and releases what it has
+// read.
 func (u *upload) markLast() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.isLast = true
+	u.dropRead()
+}
+
+// dropRead releases the blocks that the last attempt has read. It keeps the block that
+// receive may write to.
+func (u *upload) dropRead() {
+	for len(u.blocks) > 1 || len(u.blocks) == 1 && u.err != nil {
+		first := u.blocks[0]
+		if u.reader != nil && u.reader.offset < u.start+int64(len(first)) {
+			return
+		}
+		u.start += int64(len(first))
+		u.blocks = u.blocks[1:]
+		u.reserved -= int64(cap(first))
+		u.handler.releaseBody(int64(cap(first)))
+	}
+}
+
+// hasBegun reports whether the host reads the body, so that the caller sends it.
+func (u *upload) hasBegun() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.isStarted
 }
 
 // release releases the memory of the upload. Its readers fail from then on.
@@ -335,6 +359,9 @@
 	block := u.blocks[at/uploadBlockBytes]
 	n := copy(p, block[at%uploadBlockBytes:])
 	r.offset += int64(n)
+	if u.isLast {
+		u.dropRead()
+	}
 	u.changed.Broadcast()
 	return n
 }
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -187,6 +187,25 @@
 	}
 }
 
+// TestAnsweredUploadIsNotHeld guards against bodies that take memory for as long as the
+// caller reads the response.
+func TestAnsweredUploadIsNotHeld(t *testing.T) {
+	const length = 300_000
+	release := make(chan struct{})
+	f := newFixture(t, startBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusCreated)
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	defer close(release)
+	response := f.send(t, "PUT", "/uploads/a", strings.Repeat("x", length))
+	if response.StatusCode != http.StatusCreated {
+		t.Fatalf("got status %d, want 201", response.StatusCode)
+	}
+	eventually(t, "release of the body", func() bool { return f.handler.heldBodyBytes.Load() == 0 })
+}
+
 // held returns the memory that the upload holds.
 func (u *upload) held() mustardramp.Bytes {
 	u.mu.Lock()
