Hold less of an upload that cannot be sent again

An upload whose response had begun, or whose start was dropped, went on to hold up to 1 MiB, although no attempt could follow.

Change: of such an upload 64 KiB are held, in blocks that are used again.

TestUploadHoldsWithinTheAccount checks the bound.

--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -18,6 +18,8 @@
 	maxUploadBytes = 1 << 20
 	// uploadBlockBytes is the size of the blocks that hold it.
 	uploadBlockBytes = 16 << 10
+	// uploadWindowBytes is how much it holds of a body that cannot be sent again.
+	uploadWindowBytes = 4 * uploadBlockBytes
 	// uploadRoomInterval is the interval at which an upload that found no memory looks for
 	// some again.
 	uploadRoomInterval = 20 * time.Millisecond
@@ -189,8 +191,12 @@
 // addBlock adds an empty block and reports whether there was memory for it. The first
 // block of an attempt in progress needs none: without it the attempt would stand still.
 func (u *upload) addBlock() bool {
-	if u.isLast && u.reuseBlock() {
-		return true
+	limit := int64(maxUploadBytes)
+	if u.isForwardOnly() {
+		if u.reuseBlock() {
+			return true
+		}
+		limit = uploadWindowBytes
 	}
 	size := int64(uploadBlockBytes)
 	if length := u.request.ContentLength; length >= 0 {
@@ -199,7 +205,7 @@
 	}
 	total := u.reserved + size
 	switch {
-	case total <= maxUploadBytes && u.handler.reserveBody(size, total):
+	case total <= limit && u.handler.reserveBody(size, total):
 	case u.reuseBlock():
 		return true
 	case u.reader != nil && len(u.blocks) == 0:
@@ -257,10 +263,15 @@
 	u.dropRead()
 }
 
-// dropRead releases the blocks that the last attempt has read. It keeps the block that
-// receive may write to.
+// isForwardOnly reports whether the body cannot be sent again.
+func (u *upload) isForwardOnly() bool {
+	return u.isLast || u.start > 0
+}
+
+// dropRead releases the blocks that the last attempt has read, beyond those that are used
+// again for the rest of the body.
 func (u *upload) dropRead() {
-	for len(u.blocks) > 1 || len(u.blocks) == 1 && u.err != nil {
+	for len(u.blocks) > 0 && u.isForwardOnly() && (u.err != nil || u.reserved > uploadWindowBytes) {
 		first := u.blocks[0]
 		if u.reader != nil && u.reader.offset < u.start+int64(len(first)) {
 			return
@@ -359,9 +370,7 @@
 	block := u.blocks[at/uploadBlockBytes]
 	n := copy(p, block[at%uploadBlockBytes:])
 	r.offset += int64(n)
-	if u.isLast {
-		u.dropRead()
-	}
+	u.dropRead()
 	u.changed.Broadcast()
 	return n
 }
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -175,6 +175,9 @@
 				if most > test.wantMost {
 					t.Errorf("held: got %d bytes, want at most %d", most, test.wantMost)
 				}
+				if got, want := u.held(), mustardramp.Bytes(uploadWindowBytes); !test.wantReplay && got > want {
+					t.Errorf("held of a body that cannot be sent again: got %d bytes, want at most %d", got, want)
+				}
 				u.close(0)
 				if got := account.Used(); got != test.used {
 					t.Errorf("held after the end: got %d bytes, want %d", got-test.used, 0)
