Name the parts of an upload for what they are

Cause: a second reading. begin, isStarted and hasBegun were three words for one state; start was an offset beside it; caller was a body, while a request's caller is a name elsewhere; again was no verb; the bounds of what is read after a response stood in two packages.

Change: start, isStarted and hasStarted; first and end are the offsets of the blocks; source is the body's reader; reschedule; entry takes the bounds from callerconn. Comments of dropRead and awaitsContinue state what they are for. No condition, bound or order differs.

Check: the tests of uploads, retries and callers that leave hold three times with the race detector.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -22,10 +22,13 @@
 	// refusalWriteTimeout bounds the write of a refusal, which fits the socket's
 	// buffer unless the caller does not read.
 	refusalWriteTimeout = time.Second
-	// lingerTime and lingerBytes bound how much is read after a refusal. Closing a
-	// connection with unread bytes resets it, and the caller may lose the refusal.
-	lingerTime  = 250 * time.Millisecond
-	lingerBytes = 256 << 10
+)
+
+// Limits on what is read after a response that comes before the end of its request. Closing
+// a connection with unread bytes resets it, and the caller may lose the response.
+const (
+	LingerTime  = 250 * time.Millisecond
+	LingerBytes = 256 << 10
 )
 
 // errRefused is returned to net/http after a refusal was written. As a network error
@@ -421,8 +424,8 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	for total := 0; total < lingerBytes; {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(LingerTime))
+	for total := 0; total < LingerBytes; {
 		n, err := c.Conn.Read(buffer)
 		if err != nil {
 			return
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -216,7 +216,7 @@
 		Close: transport == x.h.transports.fresh,
 	}).WithContext(httptrace.WithClientTrace(a.ctx, a.clientTrace()))
 	a.setRequestBody(out)
-	if x.body.upload == nil || x.body.upload.hasBegun() {
+	if x.body.upload == nil || x.body.upload.hasStarted() {
 		// The caller sends the body in any case, so there is nothing to wait for.
 		delete(out.Header, "Expect")
 	}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -157,21 +157,21 @@
 		x.r.Body = http.MaxBytesReader(nil, x.r.Body, int64(limit))
 	}
 	x.removeWorkspaceTrailers()
-	caller := x.newCallerBody()
+	source := x.newCallerBody()
 	length := x.r.ContentLength
 	isShort := length >= 0 && length <= MaxReplayBytes
 	if x.key == "" && (!isShort || !x.reserveMemory(length)) {
-		x.startUpload(caller)
+		x.startUpload(source)
 		return nil
 	}
-	defer caller.close()
+	defer source.close()
 	switch {
 	case length > MaxKeyedBytes:
 		return keyedBodyTooLarge()
 	case x.key != "" && !x.reserveMemory(length):
 		return noBodyMemoryDenial()
 	}
-	return x.bufferBody(caller, length)
+	return x.bufferBody(source, length)
 }
 
 func noBodyMemoryDenial() *mustardramp.Denial {
@@ -229,13 +229,13 @@
 	h.config.Account.Release(mustardramp.Bytes(n))
 }
 
-func (x *exchange) bufferBody(caller *callerBody, length int64) *mustardramp.Denial {
+func (x *exchange) bufferBody(source *callerBody, length int64) *mustardramp.Denial {
 	var err error
 	if length >= 0 {
 		x.body.buffered = make([]byte, length)
-		_, err = io.ReadFull(caller, x.body.buffered)
+		_, err = io.ReadFull(source, x.body.buffered)
 	} else {
-		x.body.buffered, err = io.ReadAll(io.LimitReader(caller, MaxKeyedBytes+1))
+		x.body.buffered, err = io.ReadAll(io.LimitReader(source, MaxKeyedBytes+1))
 	}
 	if err != nil && x.h.root.Err() != nil {
 		return x.interruptedDenial(x.h.root)
--- a/internal/entry/caller_watch.go
+++ b/internal/entry/caller_watch.go
@@ -45,7 +45,7 @@
 			x.cancel(errCallerLeft)
 			return
 		}
-		w.again()
+		w.reschedule()
 	})
 }
 
@@ -60,8 +60,8 @@
 	}
 }
 
-// again schedules the next look.
-func (w *callerWatch) again() {
+// reschedule starts the wait for the next look.
+func (w *callerWatch) reschedule() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.isStopped {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -359,7 +359,7 @@
 	if x.body.upload == nil || !x.awaitsContinue() {
 		return func() bool { return false }
 	}
-	return time.AfterFunc(d, x.body.upload.begin).Stop
+	return time.AfterFunc(d, x.body.upload.start).Stop
 }
 
 func (x *exchange) newDemand() mustardramp.Demand {
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/mustardramp/mustardramp/internal/callerconn"
 )
 
 const (
@@ -29,10 +31,6 @@
 	// continueTime is the time after which a caller that asks before it sends its body is
 	// told to send it, although no backend has answered.
 	continueTime = time.Second
-	// lingerTime and lingerBytes bound how much of an upload is read after its response.
-	// Closing a connection with unread bytes resets it, and the caller may lose the response.
-	lingerTime  = 250 * time.Millisecond
-	lingerBytes = 256 << 10
 )
 
 // upload is a request body that is forwarded while it arrives. One goroutine reads it from
@@ -42,8 +40,8 @@
 type upload struct {
 	handler *Handler
 	request *http.Request
-	// caller is read by receive alone.
-	caller *callerBody
+	// source is read by receive alone.
+	source *callerBody
 	// fail is called with the reason if the request cannot be served: the caller did not
 	// send the whole body, or the host has no memory for it.
 	fail context.CancelCauseFunc
@@ -52,10 +50,10 @@
 	mu    sync.Mutex
 	// changed is signaled after each change that receive or a reader may wait for.
 	changed sync.Cond
-	// blocks hold the bytes from start to end. All have the capacity uploadBlockBytes but
+	// blocks hold the bytes from the offset first to the offset end. All have the capacity uploadBlockBytes but
 	// the last, and all but the last are full.
 	blocks     [][]byte
-	start, end int64
+	first, end int64
 	// reserved is the sum of the capacities of blocks.
 	reserved int64
 	// trailer holds the announced trailers without values until the body has ended.
@@ -78,14 +76,15 @@
 	discarded int
 }
 
-// begin starts to read from the caller unless that has begun.
-func (u *upload) begin() {
+// start starts to read from the caller unless that has started.
+func (u *upload) start() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.beginLocked()
+	u.startLocked()
 }
 
-func (u *upload) beginLocked() {
+// startLocked is start for a caller that holds mu.
+func (u *upload) startLocked() {
 	if !u.isStarted && !u.isOver {
 		u.isStarted = true
 		u.group.Go(u.receive)
@@ -99,7 +98,7 @@
 		if p == nil {
 			return nil
 		}
-		n, err := u.caller.Read(p)
+		n, err := u.source.Read(p)
 		if !u.add(n, err) {
 			return nil
 		}
@@ -171,7 +170,7 @@
 
 // roomToDiscard returns a buffer for bytes that are not held, or nil if enough were read.
 func (u *upload) roomToDiscard() []byte {
-	if u.discarded >= lingerBytes {
+	if u.discarded >= callerconn.LingerBytes {
 		return nil
 	}
 	return make([]byte, uploadBlockBytes)
@@ -221,12 +220,12 @@
 // reuseBlock makes the first block the last one if the attempt in progress has read it.
 // The body can then not be sent again.
 func (u *upload) reuseBlock() bool {
-	if u.reader == nil || len(u.blocks) == 0 || u.reader.offset < u.start+int64(len(u.blocks[0])) {
+	if u.reader == nil || len(u.blocks) == 0 || u.reader.offset < u.first+int64(len(u.blocks[0])) {
 		return false
 	}
-	first := u.blocks[0]
-	u.start += int64(len(first))
-	u.blocks = append(u.blocks[1:], first[:0])
+	block := u.blocks[0]
+	u.first += int64(len(block))
+	u.blocks = append(u.blocks[1:], block[:0])
 	return true
 }
 
@@ -234,7 +233,7 @@
 func (u *upload) canReplay() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.start == 0 && !u.isOver
+	return u.first == 0 && !u.isOver
 }
 
 // isWhole reports whether the body has been read to its end.
@@ -265,26 +264,26 @@
 
 // isForwardOnly reports whether the body cannot be sent again.
 func (u *upload) isForwardOnly() bool {
-	return u.isLast || u.start > 0
+	return u.isLast || u.first > 0
 }
 
-// dropRead releases the blocks that the last attempt has read, beyond those that are used
-// again for the rest of the body.
+// dropRead releases the blocks that the attempt in progress has read if no other follows.
+// It leaves the blocks that reuseBlock needs for the rest of the body.
 func (u *upload) dropRead() {
 	for len(u.blocks) > 0 && u.isForwardOnly() && (u.err != nil || u.reserved > uploadWindowBytes) {
-		first := u.blocks[0]
-		if u.reader != nil && u.reader.offset < u.start+int64(len(first)) {
+		block := u.blocks[0]
+		if u.reader != nil && u.reader.offset < u.first+int64(len(block)) {
 			return
 		}
-		u.start += int64(len(first))
+		u.first += int64(len(block))
 		u.blocks = u.blocks[1:]
-		u.reserved -= int64(cap(first))
-		u.handler.releaseBody(int64(cap(first)))
+		u.reserved -= int64(cap(block))
+		u.handler.releaseBody(int64(cap(block)))
 	}
 }
 
-// hasBegun reports whether the host reads the body, so that the caller sends it.
-func (u *upload) hasBegun() bool {
+// hasStarted reports whether the host reads the body, so that the caller sends it.
+func (u *upload) hasStarted() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.isStarted
@@ -307,7 +306,7 @@
 	timer := time.AfterFunc(linger, u.interrupt)
 	_ = u.group.Wait()
 	timer.Stop()
-	u.caller.close()
+	u.source.close()
 }
 
 // interrupt ends the upload unless the body has ended.
@@ -315,7 +314,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.isStarted && u.err == nil {
-		u.caller.interrupt()
+		u.source.interrupt()
 	}
 }
 
@@ -324,7 +323,7 @@
 func (u *upload) newReader() *uploadReader {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.reader = &uploadReader{upload: u, trailer: maps.Clone(u.trailer), isClosed: u.start > 0}
+	u.reader = &uploadReader{upload: u, trailer: maps.Clone(u.trailer), isClosed: u.first > 0}
 	return u.reader
 }
 
@@ -358,7 +357,7 @@
 		case u.err != nil:
 			return 0, u.err
 		}
-		u.beginLocked()
+		u.startLocked()
 		u.changed.Wait()
 	}
 }
@@ -366,7 +365,7 @@
 // copy copies bytes of one block.
 func (r *uploadReader) copy(p []byte) int {
 	u := r.upload
-	at := r.offset - u.start
+	at := r.offset - u.first
 	block := u.blocks[at/uploadBlockBytes]
 	n := copy(p, block[at%uploadBlockBytes:])
 	r.offset += int64(n)
@@ -390,19 +389,19 @@
 
 // startUpload makes the body one that is forwarded while it arrives. The backend may
 // respond before the whole body has been read.
-func (x *exchange) startUpload(caller *callerBody) {
-	_ = caller.controller.EnableFullDuplex()
-	u := &upload{handler: x.h, request: x.r, caller: caller, fail: x.cancel, trailer: maps.Clone(x.r.Trailer)}
+func (x *exchange) startUpload(source *callerBody) {
+	_ = source.controller.EnableFullDuplex()
+	u := &upload{handler: x.h, request: x.r, source: source, fail: x.cancel, trailer: maps.Clone(x.r.Trailer)}
 	u.changed.L = &u.mu
 	x.body.upload = u
 	if !x.awaitsContinue() {
 		// While the body is read, the end of the caller's connection is noticed.
-		u.begin()
+		u.start()
 	}
 }
 
-// awaitsContinue reports whether the caller asks before it sends its body. Backends answer
-// that.
+// awaitsContinue reports whether the caller asks before it sends its body, so that a
+// backend can refuse the request by its head alone.
 func (x *exchange) awaitsContinue() bool {
 	return strings.EqualFold(x.r.Header.Get("Expect"), "100-continue")
 }
@@ -416,7 +415,7 @@
 	linger := time.Duration(0)
 	if x.responseStarted && !x.isAborted && x.r.ProtoMajor == 1 && !u.isWhole() {
 		x.flush()
-		linger = lingerTime
+		linger = callerconn.LingerTime
 	}
 	u.close(linger)
 }
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -221,7 +221,7 @@
 	h := New(Config{Account: &callerlimit.Account{Limit: limit}})
 	r, _ := http.NewRequest("PUT", "/", strings.NewReader(""))
 	r.ContentLength = length
-	caller := &callerBody{
+	body := &callerBody{
 		source:       source,
 		controller:   http.NewResponseController(nil),
 		root:         h.root,
@@ -230,7 +230,7 @@
 		cancel:       func() {},
 		stopWatch:    func() bool { return true },
 	}
-	u := &upload{handler: h, request: r, caller: caller}
+	u := &upload{handler: h, request: r, source: body}
 	u.changed.L = &u.mu
 	return u
 }
