Force the order in which an upload lost a part of its body

Change: TestTransportThatReadsOnTakesNothingOfTheBody holds the transport of a shed attempt between the head and the body until the next attempt waits for the body, then sends the body in 50 pieces, in chunks and with a length. TestRetries has a long body through three attempts.

--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -44,6 +44,7 @@
 		"lost, no retry":                     {"PUT", "/plain/a", small, []string{lost, echo}, 9, 502, "", 1},
 		"lost, once":                         {"POST", "/stamps", small, []string{lost, echo}, 9, 502, "", 1},
 		"lost, large body":                   {"PUT", "/files/a", large, []string{lost, echo}, 9, 200, large, 2},
+		"lost twice, large body":             {"PUT", "/files/a", large, []string{lost, cut, echo}, 9, 200, large, 3},
 		"lost, body too large to hold":       {"PUT", "/files/a", huge, []string{lost, echo}, 9, 502, "", 1},
 		"lost twice":                         {"PUT", "/files/a", small, []string{lost, cut, echo}, 9, 200, small, 3},
 		"bound on attempts":                  {"GET", "/files/a", "", []string{lost, cut, shed, echo}, 9, 503, "", 3},
--- a/internal/entry/upload_test.go
+++ b/internal/entry/upload_test.go
@@ -3,13 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -90,6 +94,87 @@
 	}
 }
 
+// heldConn is a connection whose first Write returns only once released is closed. Its
+// bytes are sent before.
+type heldConn struct {
+	net.Conn
+	released <-chan struct{}
+	once     sync.Once
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.once.Do(func() { <-c.released })
+	return n, err
+}
+
+// TestTransportThatReadsOnTakesNothingOfTheBody guards against a transport that begins to
+// read the body after its attempt has ended. It is held between the head and the body until
+// the next attempt waits for the body.
+func TestTransportThatReadsOnTakesNothingOfTheBody(t *testing.T) {
+	const pieces = 50
+	for name, header := range map[string]string{"chunked": "Transfer-Encoding: chunked", "length": fmt.Sprintf("Content-Length: %d", 100_000)} {
+		t.Run(name, func(t *testing.T) {
+			payload := numbered(100_000)
+			released, ended := make(chan struct{}), make(chan struct{})
+			shed := startRawBackend(t, func(conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n")
+					<-ended
+				}
+			})
+			store := startBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				close(released)
+				if got, err := io.ReadAll(r.Body); err != nil || !bytes.Equal(got, payload) {
+					t.Errorf("body at the backend: got %d bytes, %v, want the %d that were sent", len(got), err, len(payload))
+				}
+				w.WriteHeader(http.StatusCreated)
+			})
+			f := newFixture(t, shed, store)
+			defer close(ended)
+			dialer := &net.Dialer{}
+			f.handler.transports = newTransports(func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if address == shed && err == nil {
+					conn = &heldConn{Conn: conn, released: released}
+				}
+				return conn, err
+			})
+			conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+			_, _ = io.WriteString(conn, "PUT /uploads/a HTTP/1.1\r\nHost: mohor.example\r\n"+header+"\r\n\r\n")
+			select {
+			case <-released:
+			case <-time.After(10 * time.Second):
+				t.Fatal("got no second attempt, want one")
+			}
+			for piece := range slices.Chunk(payload, len(payload)/pieces) {
+				if name == "chunked" {
+					_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(piece), piece)
+				} else {
+					_, _ = conn.Write(piece)
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if name == "chunked" {
+				_, _ = io.WriteString(conn, "0\r\n\r\n")
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusCreated {
+				t.Errorf("got %d (%s), want 201", response.StatusCode, response.Header.Get(HeaderReason))
+			}
+		})
+	}
+}
+
 // TestEndedAttemptTakesNothingOfTheBody guards against an attempt that still reads the
 // caller's body after it has ended, as the transport does.
 func TestEndedAttemptTakesNothingOfTheBody(t *testing.T) {
