Correct what comments say of bodies that can be sent again

Cause: a second reading. MaxReplayBytes was said to be the longest body that can be sent again, which uploads up to 1 MiB can be since; comments of the transports and of stale connections said the same.

Change: MaxBufferedBytes, for what it bounds: bodies that are read in full before the request asks for a slot. Comments only besides.

Check: the tests of uploads, retries and stale connections hold with the race detector.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -185,8 +185,7 @@
 }
 
 // isStale reports whether the attempt got a pooled connection that the backend
-// had already closed, so that no byte was sent and no part of the body was
-// read.
+// had already closed, so that no byte was sent, and the body can be sent again.
 func (a *attempt) isStale() bool {
 	return a.conn != nil &&
 		errors.Is(context.Cause(a.ctx), errBroken) &&
@@ -251,8 +250,8 @@
 }
 
 // selectTransport selects a new connection for non-idempotent requests and for
-// bodies that cannot be sent again, and a pooled one otherwise. On a pooled one a
-// backend may write the refusal of an earlier request once more.
+// uploads, which may become too long to be sent again, and a pooled one otherwise. On a
+// pooled one a backend may write the refusal of an earlier request once more.
 func (x *exchange) selectTransport() *http.Transport {
 	if !x.route.Idempotent() || x.body.upload != nil {
 		return x.h.transports.fresh
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -18,8 +18,9 @@
 
 // Limits on the request bodies that the host buffers.
 const (
-	// MaxReplayBytes is the length of the longest body that can be sent again.
-	MaxReplayBytes = 64 << 10
+	// MaxBufferedBytes is the length of the longest body without an operation key that
+	// is read in full before the request asks for a slot.
+	MaxBufferedBytes = 64 << 10
 	// MaxKeyedBytes is the length of the longest body of a request with an
 	// operation key. The ledger needs the digest of the body before a byte is
 	// sent.
@@ -159,7 +160,7 @@
 	x.removeWorkspaceTrailers()
 	source := x.newCallerBody()
 	length := x.r.ContentLength
-	isShort := length >= 0 && length <= MaxReplayBytes
+	isShort := length >= 0 && length <= MaxBufferedBytes
 	if x.key == "" && (!isShort || !x.reserveMemory(length)) {
 		x.startUpload(source)
 		return nil
--- a/internal/entry/retry_test.go
+++ b/internal/entry/retry_test.go
@@ -31,7 +31,7 @@
 	})
 	echo := startBackend(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
 	dead := unusedAddress(t)
-	small, large, huge := "small", strings.Repeat("l", MaxReplayBytes+1), strings.Repeat("h", 2*maxUploadBytes)
+	small, large, huge := "small", strings.Repeat("l", MaxBufferedBytes+1), strings.Repeat("h", 2*maxUploadBytes)
 	tests := map[string]struct {
 		method, path, body string
 		backends           []string
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -29,7 +29,7 @@
 	// pooled reuses connections.
 	pooled *http.Transport
 	// fresh opens a connection for each attempt. It serves non-idempotent
-	// requests and bodies that cannot be sent again.
+	// requests and uploads, which may become too long to be sent again.
 	fresh *http.Transport
 }
 
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// maxUploadBytes is how much of one streamed body the host holds.
+	// maxUploadBytes is how much of one upload the host holds.
 	maxUploadBytes = 1 << 20
 	// uploadBlockBytes is the size of the blocks that hold it.
 	uploadBlockBytes = 16 << 10
