Count pipelined requests by the connections of the callers

Cause: the test took the first two streams that the server saw for those of the two callers. An internal stream of the first caller can be served before the second caller's connection, and then the first caller's two requests are counted twice.

Change: the test sums the connections of the callers, found by their first streams. The bounds are the same.

Conclusion: a fault of the test alone.

--- a/internal/pipeline/fixture_test.go
+++ b/internal/pipeline/fixture_test.go
@@ -80,6 +80,19 @@
 	return result
 }
 
+// conns returns the connections of the callers. An internal stream of one may be served
+// before the first stream of another.
+func (f *fixture) conns() (conns []*conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.streams {
+		if s == &s.conn.first {
+			conns = append(conns, s.conn)
+		}
+	}
+	return conns
+}
+
 func newFixture(t *testing.T, limits Limits, handler http.HandlerFunc, configure ...func(*http.Server)) *fixture {
 	t.Helper()
 	f := &fixture{memory: newMemoryListener()}
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -231,9 +231,11 @@
 				// Requests may only start when all are read.
 				all := len(callers) * len(gets(paths...))
 				progress := func() (turns, read int) {
-					for number := range callers {
-						turns += inspect(f, number, func(s *stream) int { return len(s.conn.turns) })
-						read += inspect(f, number, func(s *stream) int { return len(s.conn.pending) })
+					for _, c := range f.conns() {
+						c.mu.Lock()
+						turns += len(c.turns)
+						read += len(c.pending)
+						c.mu.Unlock()
 					}
 					return turns, read + turns*len(get("/1"))
 				}
