Show that a service loses its state when a configuration drops it

Cause: a service that a configuration does not name loses its pool, and with it what backends asked the host for. The service starts afresh when a later configuration names it again.

Change: a script in which an upstream asks for quiet while its service leaves the configuration three times and comes back, and its claim.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(record *record, trouble bool) (bool, error){
 	"promise": runPromise,
 	"foreign": runForeign,
+	"quiet":   runQuiet,
 }
 
 func main() {
