--- a/review/12/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mustardramp ] && [ -x target/review-3 ] || exit 2
-exec target/review-3 promise review/12/record.txt
+exec target/review-3 replaced review/11/record.txt
--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -41,16 +41,24 @@
 
 // fleet is a small deployment on loopback addresses.
 type fleet struct {
-	folder   string
-	program  string
-	port     int
+	folder  string
+	program string
+	port    int
+	// controls are the control hosts, the spares at the end.
 	controls []*node
+	spares   int
 	entries  []*node
 	client   *http.Client
 }
 
 // newFleet prepares a deployment of control hosts and entry hosts without starting it.
 func newFleet(controls, entries int) (*fleet, error) {
+	return newFleetWithSpares(controls, 0, entries)
+}
+
+// newFleetWithSpares is newFleet with control hosts that do not start with the others.
+func newFleetWithSpares(running, spares, entries int) (*fleet, error) {
+	controls := running + spares
 	folder, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
 		return nil, err
@@ -59,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{folder: folder, program: program, client: &http.Client{Timeout: callLimit}}
+	f := &fleet{folder: folder, program: program, spares: spares, client: &http.Client{Timeout: callLimit}}
 	var addresses []string
 	base := 16 + os.Getpid()%200
 	for i := range controls + entries {
@@ -128,7 +136,7 @@
 		fmt.Fprintf(&b, "%s = \"north\"\n", zone)
 	}
 	b.WriteString("[platform]\ndiscovery = \"registration\"\nentry = \"virtual_ip\"\nheartbeatInterval = \"1500ms\"\nconfigurationMode = \"highest\"\n")
-	fmt.Fprintf(&b, "[terms]\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"health\"]\n[terms.faultTolerance]\nmachines = %d\nzones = 0\nregions = 0\n", (len(f.controls)-1)/2)
+	fmt.Fprintf(&b, "[terms]\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"health\"]\n[terms.faultTolerance]\nmachines = %d\nzones = 0\nregions = 0\n", (len(f.controls)-f.spares-1)/2)
 	b.WriteString("[terms.bounds]\nseedLag = \"3s\"\naddressReuse = \"2s\"\ncontactWindow = \"3000ms\"\nackTimeout = \"4000ms\"\ncatchUp = \"4s\"\ndrainPeriod = \"2000ms\"\n" +
 		"gracePeriod = \"6s\"\nlossSlack = \"200ms\"\nconfigApply = \"2000ms\"\nrollbackSlack = \"250ms\"\nmaxStretch = \"5000ms\"\nretryBudgetRatio = 0.2\nbudgetWindow = \"10s\"\n" +
 		"retryBudgetSlack = 58\nrecovery = \"15s\"\nprobesPerS = 3\nfloorShare = 0.7\n")
@@ -156,7 +164,8 @@
 
 // startAll starts all hosts for the first time.
 func (f *fleet) startAll() error {
-	for _, n := range append(f.controls[:len(f.controls):len(f.controls)], f.entries...) {
+	running := len(f.controls) - f.spares
+	for _, n := range append(f.controls[:running:running], f.entries...) {
 		if err := f.start(n, true); err != nil {
 			return err
 		}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -21,9 +21,9 @@
 
 // cases holds the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(record *record, trouble bool) (bool, error){
-	"promise": runPromise,
-	"foreign": runForeign,
-	"quiet":   runQuiet,
+	"promise":  runPromise,
+	"replaced": runReplaced,
+	"foreign":  runForeign,
 }
 
 func main() {
--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -15,7 +15,7 @@
 const beatInterval = 1500 * time.Millisecond
 
 // server is a stand-in for an upstream. It answers as the pages say, but for what a case
-// puts into answer, turnAway and admit.
+// puts into answer and admit.
 type server struct {
 	service, id, zone string
 	address           string
@@ -24,9 +24,6 @@
 	sequence          int64
 	// answer answers a request that the server has begun to run.
 	answer func(w http.ResponseWriter, r *http.Request)
-	// turnAway answers a request that the server turns away, and reports whether it did.
-	// It may be nil.
-	turnAway func(w http.ResponseWriter, r *http.Request) bool
 	// admit takes a place for a request or reports that there is none, which the server
 	// then answers as not run. It may be nil.
 	admit func() bool
@@ -59,9 +56,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if s.turnAway != nil && s.turnAway(w, r) {
-		return
-	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
