Show a configuration that is lost after many replaced control hosts

Cause: a learner that is gone for good is never removed from the group. Once there are eight, no successor joins, and every replaced voter is one voter less for good.

Change: a script that replaces the sixth control host eight times and then three of the first five, one at a time and each with the time that a successor has, and its claim.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -21,9 +21,10 @@
 
 // cases holds the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(record *record, trouble bool) (bool, error){
-	"promise":  runPromise,
-	"replaced": runReplaced,
-	"foreign":  runForeign,
+	"promise":    runPromise,
+	"replaced":   runReplaced,
+	"successors": runSuccessors,
+	"foreign":    runForeign,
 }
 
 func main() {
