Log each membership change with how long the member was silent

Change: the leader of a group logs member-added, member-promoted and member-removed, with the time without a message from the member.

--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -52,7 +52,7 @@
 		return
 	}
 	if _, ok := c.membership().Member(change.Remove); ok {
-		c.appendMembership(c.membership().without(change.Remove))
+		c.removeMember(change.Remove)
 		return
 	}
 	if change.Add == nil || !c.canJoin(change.Add.Host) {
@@ -62,7 +62,7 @@
 		return
 	}
 	learner := Member{ID: change.Add.ID, Host: change.Add.Host}
-	c.appendMembership(c.membership().with(learner))
+	c.appendMembership(c.membership().with(learner), memberChange{action: memberAdded, member: learner})
 }
 
 // maxLearners limits the learners of a group without a fixed list of hosts.
@@ -76,11 +76,37 @@
 	return len(c.membership())-c.membership().voterCount() < maxLearners
 }
 
-func (c *core) appendMembership(membership Membership) {
+// memberAction is what a membership change does to a member.
+type memberAction string
+
+const (
+	memberAdded    memberAction = "added"
+	memberPromoted memberAction = "promoted"
+	memberRemoved  memberAction = "removed"
+)
+
+// memberChange describes a membership change that this member has started as the leader.
+type memberChange struct {
+	action memberAction
+	member Member
+	// silentTicks is the number of ticks since the leader's last message from the member.
+	silentTicks int
+}
+
+func (c *core) appendMembership(membership Membership, change memberChange) {
+	if p := c.leaderState.peers[change.member.ID]; p != nil {
+		change.silentTicks = p.silentTicks
+	}
+	c.out.memberChanges = append(c.out.memberChanges, change)
 	c.appendInTerm(Entry{Kind: EntryMembership, Membership: membership})
 	c.updatePeers()
 }
 
+func (c *core) removeMember(id MemberID) {
+	member, _ := c.membership().Member(id)
+	c.appendMembership(c.membership().without(id), memberChange{action: memberRemoved, member: member})
+}
+
 // promoteLearner makes a learner a voter once it has synced all committed entries.
 // An earlier identity of its host is removed first, as soon as it is silent: its
 // folder is lost, so it would only enlarge the quorum. In a group that has its
@@ -102,11 +128,11 @@
 		}
 		if !ok {
 			member.Voter = true
-			c.appendMembership(c.membership().with(member))
+			c.appendMembership(c.membership().with(member), memberChange{action: memberPromoted, member: member})
 			return
 		}
 		if c.isSilent(old) {
-			c.appendMembership(c.membership().without(old))
+			c.removeMember(old)
 			return
 		}
 	}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -134,6 +134,8 @@
 	// failedElections lists the pre-votes and elections that ended without a
 	// quorum.
 	failedElections []electionResult
+	// memberChanges lists the membership changes that were started.
+	memberChanges []memberChange
 }
 
 // batch holds what one sync writes to disk and the messages that wait for it.
--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -372,6 +372,7 @@
 	g.waiters.deferRefused(out.refusedProposals)
 	g.waiters.confirmReads(out.reads)
 	g.logFailedElections(out.failedElections)
+	g.logMemberChanges(out.memberChanges)
 	if !g.isSyncing {
 		g.startSync()
 	}
@@ -417,6 +418,18 @@
 	}
 }
 
+// logMemberChanges logs the membership changes that this member has started, each with
+// how long the member concerned has been silent. This tells a host that was replaced
+// while it was frozen from one that is gone.
+func (g *Group) logMemberChanges(changes []memberChange) {
+	membership := g.core.membership()
+	for _, change := range changes {
+		klog.InfoS("member-"+string(change.action), "group", g.config.Group, "host", change.member.Host, "member", change.member.ID,
+			"voter", change.member.Voter, "silent", (time.Duration(change.silentTicks) * g.config.Tick).Milliseconds(),
+			"term", g.core.hardState.Term, "voters", membership.voterCount(), "learners", len(membership)-membership.voterCount())
+	}
+}
+
 func (g *Group) hostsOf(ids []MemberID) []mustardramp.HostName {
 	hosts := make([]mustardramp.HostName, len(ids))
 	for i, id := range ids {
