Ask to join again as soon as a member has no leader

Cause: a host that was replaced while it was frozen noticed after its election timeout (0.7 to 1.4 s) that it had no leader, and then waited 3 s more before it asked to join. It had a vote again 4.4 s after it woke, later than the 4 s after which a host no longer counts as lost; until then a host that was gone for good held a vote, and a whole disk had none.

--- a/internal/quorum/bootstrap.go
+++ b/internal/quorum/bootstrap.go
@@ -28,8 +28,6 @@
 	// isFirstStart is set if no host has a disk of an earlier group, so that a
 	// group may be bootstrapped.
 	isFirstStart bool
-	// leaderlessTicks counts the ticks without a leader.
-	leaderlessTicks int
 	// blankMembers holds the identities of the hosts that replied that they are
 	// blank.
 	blankMembers map[mustardramp.HostName]Member
@@ -57,20 +55,12 @@
 	}
 }
 
-// rejoinTicks is the number of ticks without a leader after which a member of a
-// group without a fixed list of hosts asks to join again. It may have been removed
-// without having received that change.
-const rejoinTicks = 60
-
 // tick bootstraps the group if that is possible. At intervals of helloIntervalTicks
 // it returns the hellos and join requests to send. It does nothing for a member with
 // log entries, unless that may have to rejoin.
 func (b *bootstrapper) tick(c *core) []hostMessage {
-	if c.leader != 0 {
-		b.leaderlessTicks = 0
-	}
-	b.leaderlessTicks++
-	if c.log.lastIndex() > 0 && (b.targetVoters == 0 || b.leaderlessTicks < rejoinTicks) {
+	if c.log.lastIndex() > 0 && !b.mayBeRemoved(c) {
+		b.ticksToHello = 0
 		return nil
 	}
 	b.tryBootstrap(c)
@@ -82,6 +72,14 @@
 	return append(b.helloMessages(c), b.joinRequests()...)
 }
 
+// mayBeRemoved reports whether the member has no leader although its log has entries.
+// In a group without a fixed list of hosts it may have been removed while it received
+// nothing, and only asking tells. A request to join by a host that still is a member
+// has no effect.
+func (b *bootstrapper) mayBeRemoved(c *core) bool {
+	return b.targetVoters > 0 && c.leader == 0
+}
+
 // knownHosts returns the hosts of the settings and those of the membership in the
 // log, since the seeds may no longer exist.
 func (b *bootstrapper) knownHosts(c *core) []mustardramp.HostName {
--- /dev/null
+++ b/internal/quorum/replacement_test.go
@@ -0,0 +1,182 @@
+package quorum
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/mustardramp/mustardramp"
+	"github.com/mustardramp/mustardramp/internal/disk"
+)
+
+const (
+	// catchUpTicks is the shortest time of the users' deployments after which a host
+	// that is back no longer counts as lost.
+	catchUpTicks = 80
+	// freezeTicks is how long a host is frozen.
+	freezeTicks = 140
+	// successorTicks is the time from the loss of a host to the start of its successor.
+	successorTicks = 20
+	// replacementSeeds is the number of seeds for each order of events.
+	replacementSeeds = 12
+)
+
+// newReplacementSimulation returns a group without a fixed list of hosts whose first
+// three hosts are the seeds, with a committed command.
+func newReplacementSimulation(t *testing.T, seed uint64) *simulation {
+	t.Helper()
+	sim := newSimulation(t, seed, seededVoters)
+	sim.targetVoters = seededVoters
+	sim.seeds = sim.hosts[:3]
+	for _, host := range sim.hosts {
+		n := sim.nodes[host]
+		n.core.targetVoters = seededVoters
+		n.bootstrapper = newBootstrapper(n.id.Member, &Config{Hosts: sim.seeds, TargetVoters: seededVoters})
+	}
+	sim.commit(1)
+	sim.runUntil(maxSettleSteps, "replication", sim.onAllNodes(func(n *node) bool { return sim.hasCommand(n, 1) }))
+	return sim
+}
+
+// startSpare starts a blank host that no membership has named before.
+func (sim *simulation) startSpare() *node {
+	host := mustardramp.HostName(fmt.Sprintf("host-%d", len(sim.hosts)+1))
+	sim.hosts = append(sim.hosts, host)
+	sim.nodes[host] = &node{host: host, disk: &disk.Fake{}}
+	sim.nextID++
+	sim.startNode(sim.nodes[host], sim.nextID)
+	return sim.nodes[host]
+}
+
+func (sim *simulation) runSteps(count int) {
+	sim.t.Helper()
+	for range count {
+		sim.step()
+	}
+}
+
+// replacementCase is an order of events: one host is frozen, another one is gone for
+// good, and an empty host takes its place.
+type replacementCase struct {
+	// frozen and gone are positions among the hosts, which is the order of their IDs.
+	frozen, gone int
+	// frozenLead is how many ticks the freeze begins before the other host is gone.
+	frozenLead int
+	// lead is the position of the host that leads at first.
+	lead int
+}
+
+// replacementCases returns orders of events by name.
+func replacementCases() map[string]replacementCase {
+	cases := map[string]replacementCase{}
+	for _, hosts := range []struct{ frozen, gone int }{{0, 4}, {4, 0}, {1, 3}, {3, 1}} {
+		for _, frozenLead := range []int{-10, 0, 2, 10} {
+			for leads, lead := range map[string]int{"another": 2, "the frozen one": hosts.frozen, "the one that is gone": hosts.gone} {
+				name := fmt.Sprintf("frozen %d, gone %d after %d ticks, %s leads", hosts.frozen, hosts.gone, frozenLead, leads)
+				cases[name] = replacementCase{hosts.frozen, hosts.gone, frozenLead, lead}
+			}
+		}
+	}
+	return cases
+}
+
+// elect makes the host at a position the leader.
+func (sim *simulation) elect(position int) {
+	sim.t.Helper()
+	n := sim.nodes[sim.hosts[position]]
+	for range 100 {
+		if sim.leader() == n {
+			sim.commit(2)
+			return
+		}
+		if old := sim.leader(); old != nil {
+			old.core.becomeFollower(old.core.hardState.Term, 0)
+		}
+		n.core.startPreVote()
+		for _, other := range sim.nodes {
+			other.core.leader = 0
+		}
+		sim.processOutput(n)
+		sim.runSteps(10)
+	}
+	sim.t.Fatalf("got no leader %s", n.host)
+}
+
+// play plays the order of events until the frozen host goes on. It returns that host
+// and the one that is gone.
+func (c replacementCase) play(sim *simulation) (frozen, gone *node) {
+	sim.t.Helper()
+	sim.elect(c.lead)
+	frozen, gone = sim.nodes[sim.hosts[c.frozen]], sim.nodes[sim.hosts[c.gone]]
+	freezeAt, goneAt := 0, c.frozenLead
+	if c.frozenLead < 0 {
+		freezeAt, goneAt = -c.frozenLead, 0
+	}
+	for tick := range freezeAt + freezeTicks {
+		if tick == freezeAt {
+			frozen.frozen = true
+		}
+		if tick == goneAt {
+			sim.crash(gone)
+		}
+		if tick == goneAt+successorTicks {
+			sim.startSpare()
+		}
+		sim.step()
+	}
+	frozen.frozen = false
+	return frozen, gone
+}
+
+// TestWokenHostIsAsSafeAsAVoterWithinCatchUp guards against a configuration that is lost
+// with two disks, since a member with a whole disk had no vote while a host that is gone
+// still had one.
+func TestWokenHostIsAsSafeAsAVoterWithinCatchUp(t *testing.T) {
+	for name, c := range replacementCases() {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(replacementSeeds) {
+				sim := newReplacementSimulation(t, seed)
+				_, gone := c.play(sim)
+				sim.runSteps(catchUpTicks)
+				sim.wantVotersOtherThan(gone, seed)
+				sim.loseTwoDisks(c)
+			}
+		})
+	}
+}
+
+// wantVotersOtherThan checks that the target number of voters is alive.
+func (sim *simulation) wantVotersOtherThan(gone *node, seed uint64) {
+	sim.t.Helper()
+	lead := sim.leader()
+	if lead == nil {
+		sim.t.Fatalf("seed %d: got no leader", seed)
+	}
+	got := 0
+	for _, member := range lead.core.membership() {
+		if member.Voter && member.Host != gone.host {
+			got++
+		}
+	}
+	if got != seededVoters || lead.core.membership().voterCount() != seededVoters {
+		sim.t.Fatalf("seed %d: got %d of %d voters that are not gone, want %d of %d", seed, got, lead.core.membership().voterCount(), seededVoters, seededVoters)
+	}
+}
+
+// loseTwoDisks takes the disks of two hosts that have stayed up, and waits until the
+// group has what was committed before.
+func (sim *simulation) loseTwoDisks(c replacementCase) {
+	sim.t.Helper()
+	lost := 0
+	for i, host := range sim.hosts[:seededVoters] {
+		if i != c.frozen && i != c.gone && lost < 2 {
+			sim.loseDisk(sim.nodes[host])
+			lost++
+		}
+	}
+	sim.commit(3)
+	for _, number := range []int{1, 2} {
+		if !sim.hasCommand(sim.leader(), number) {
+			sim.t.Fatalf("got no command %d, want it", number)
+		}
+	}
+}
--- a/internal/quorum/simulation_test.go
+++ b/internal/quorum/simulation_test.go
@@ -18,7 +18,10 @@
 type simulation struct {
 	// targetVoters is that of a group without a fixed list of hosts, or 0.
 	targetVoters int
-	t            *testing.T
+	// seeds are the hosts in the settings of all hosts. If there are any, hosts join by
+	// the hellos of their bootstrappers.
+	seeds []mustardramp.HostName
+	t     *testing.T
 	random       *rand.Rand
 	now          int
 	nodes        map[mustardramp.HostName]*node
@@ -111,6 +114,10 @@
 	syncing *batch
 	syncDue int
 	reads   map[uint64]mustardramp.Index
+	// bootstrapper is nil in a simulation without seeds.
+	bootstrapper *bootstrapper
+	// frozen is set while the process of the node stands still. Messages to it wait.
+	frozen bool
 }
 
 func newSimulation(t *testing.T, seed uint64, size int) *simulation {
@@ -168,6 +175,9 @@
 		c.maxAppendBytes = sim.maxAppendBytes
 	}
 	n.journal, n.core, n.id = j, c, *id
+	if len(sim.seeds) > 0 {
+		n.bootstrapper = newBootstrapper(id.Member, &Config{Hosts: sim.seeds, TargetVoters: sim.targetVoters})
+	}
 	n.machine = sim.makeMachine()
 	n.applied, n.compacted, n.syncing = 0, 0, nil
 	n.starts++
@@ -235,7 +245,7 @@
 	sim.deliver()
 	for _, host := range sim.hosts {
 		n := sim.nodes[host]
-		if n.core == nil {
+		if n.core == nil || n.frozen {
 			continue
 		}
 		if n.syncing != nil && sim.now >= n.syncDue {
@@ -258,8 +268,12 @@
 	for _, m := range messages {
 		n := sim.nodes[m.path.to]
 		switch {
-		case m.due > sim.now:
+		case m.due > sim.now || n.frozen:
 			sim.inFlight = append(sim.inFlight, m)
+		case n.core != nil && (m.message.Kind == MessageHello || m.message.Kind == MessageHelloReply):
+			if !sim.cutPaths[m.path] {
+				sim.sendToHosts(n, n.bootstrapper.handleHello(n.core, m.message))
+			}
 		case n.core != nil && !sim.cutPaths[m.path]:
 			n.core.step(sim.falsifyCandidate(m.message))
 			sim.processOutput(n)
@@ -270,6 +284,10 @@
 // requestJoin sends the join requests of a host, as the bootstrapper does outside
 // the simulation.
 func (sim *simulation) requestJoin(n *node) {
+	if n.bootstrapper != nil {
+		sim.sendToHosts(n, n.bootstrapper.tick(n.core))
+		return
+	}
 	if sim.now%20 != 0 || !sim.needsToJoin(n) {
 		return
 	}
@@ -282,6 +300,12 @@
 	}
 }
 
+func (sim *simulation) sendToHosts(n *node, messages []hostMessage) {
+	for _, m := range messages {
+		sim.transmit(n, m.host, m.message)
+	}
+}
+
 // needsToJoin reports whether a node asks to join: one with an empty log or, in a
 // group without a fixed list of hosts, one that may have been removed without
 // having received that change.
