Demote a silent voter instead of removing it

Cause: to make room for a learner, the leader removed a silent voter. Silence does not tell a host that is gone from one that is frozen or cut off, and a removed host hears no leader until its election timeout has passed and it has asked to join.

Change: the silent voter becomes a learner. Earlier identities of the same host are still removed, since their folder is lost.

Why it works: the leader goes on sending to learners, so a host that wakes has caught up with the first messages and replaces the next silent voter, whichever of the two was taken first and in whatever order of IDs.

--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -82,6 +82,7 @@
 const (
 	memberAdded    memberAction = "added"
 	memberPromoted memberAction = "promoted"
+	memberDemoted  memberAction = "demoted"
 	memberRemoved  memberAction = "removed"
 )
 
@@ -110,7 +111,7 @@
 // promoteLearner makes a learner a voter once it has synced all committed entries.
 // An earlier identity of its host is removed first, as soon as it is silent: its
 // folder is lost, so it would only enlarge the quorum. In a group that has its
-// target number of voters, the learner waits for a silent voter to replace.
+// target number of voters, a silent voter makes room: it becomes a learner.
 func (c *core) promoteLearner() {
 	if !c.canChangeMembership() {
 		return
@@ -119,25 +120,35 @@
 		if member.Voter || !c.hasCaughtUp(member.ID) {
 			continue
 		}
-		old, ok := c.otherIdentity(member)
-		if !ok && c.hasTargetVoters() {
-			old, ok = c.findSilentVoter()
-			if !ok {
+		if old, ok := c.otherIdentity(member); ok {
+			if c.isSilent(old) {
+				c.removeMember(old)
 				return
 			}
+			continue
 		}
-		if !ok {
-			member.Voter = true
-			c.appendMembership(c.membership().with(member), memberChange{action: memberPromoted, member: member})
-			return
-		}
-		if c.isSilent(old) {
-			c.removeMember(old)
+		if c.hasTargetVoters() {
+			c.demoteSilentVoter()
 			return
 		}
+		member.Voter = true
+		c.appendMembership(c.membership().with(member), memberChange{action: memberPromoted, member: member})
+		return
 	}
 }
 
+// demoteSilentVoter makes a silent voter a learner. It stays a member, since silence
+// does not tell a host that is gone from one that is frozen or cut off: that one hears
+// the leader as soon as it is back, and replaces the next silent voter at once.
+func (c *core) demoteSilentVoter() {
+	member, ok := c.findSilentVoter()
+	if !ok {
+		return
+	}
+	member.Voter = false
+	c.appendMembership(c.membership().with(member), memberChange{action: memberDemoted, member: member})
+}
+
 // hasTargetVoters reports whether the group has grown to its target number of
 // voters.
 func (c *core) hasTargetVoters() bool {
@@ -145,13 +156,13 @@
 }
 
 // findSilentVoter returns a silent voter, which another member may replace.
-func (c *core) findSilentVoter() (MemberID, bool) {
+func (c *core) findSilentVoter() (Member, bool) {
 	for _, member := range c.membership() {
 		if member.Voter && c.isSilent(member.ID) {
-			return member.ID, true
+			return member, true
 		}
 	}
-	return 0, false
+	return Member{}, false
 }
 
 // hasCaughtUp reports whether a member is active and has synced all committed
