Remove learners that are gone for good

Changes were acknowledged to the end and nothing showed the loss before.

Cause: a learner that is gone was never removed, and a group takes eight. From then on no successor joined. Groups with listed hosts have the same cause the other way round: no bound held, so a host that starts with an empty folder again and again added an identity at each start.

Change: a host that asks to join a full group takes the place of the learner that has been silent for longest; live learners are never removed for it. In a group without a list, a learner that is silent for 5 minutes is removed. A new identity of a host takes the place of the host's silent learner. The leader logs learners-near-limit from six of eight on and member-refused, and the control hosts show group-learners and group-voters with their bounds.

--- a/internal/host/controlview.go
+++ b/internal/host/controlview.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"sort"
+	"strings"
 	"time"
 
 	"github.com/mustardramp/mustardramp"
@@ -43,9 +45,19 @@
 	return []*fleetapi.BackendStanding{}
 }
 
-// Histograms implements admin.Fleet. A control host handles no requests of callers.
-func (*controlView) Histograms(string) []*fleetapi.Histogram {
-	return []*fleetapi.Histogram{}
+// Histograms implements admin.Fleet. A control host handles no requests of callers; it
+// shows how many members its groups have.
+func (v *controlView) Histograms(prefix string) []*fleetapi.Histogram {
+	out := []*fleetapi.Histogram{}
+	for _, g := range v.groups {
+		for _, h := range g.counters() {
+			if strings.HasPrefix(h.Name, prefix) {
+				out = append(out, h)
+			}
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
 }
 
 // Drain implements admin.Fleet.
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -62,18 +62,87 @@
 		return
 	}
 	learner := Member{ID: change.Add.ID, Host: change.Add.Host}
+	if old, ok := c.learnerOfHost(learner.Host); ok {
+		if c.isSilent(old) {
+			c.removeMember(old)
+		}
+		return
+	}
+	if c.membership().LearnerCount() >= MaxLearners {
+		c.makeRoom(learner)
+		return
+	}
 	c.appendMembership(c.membership().with(learner), memberChange{action: memberAdded, member: learner})
 }
 
-// maxLearners limits the learners of a group without a fixed list of hosts.
-const maxLearners = 8
+// MaxLearners limits the learners of a group. A live learner is never removed for
+// another member.
+const MaxLearners = 8
+
+const (
+	// learnersNearLimit is the number of learners from which on each new one is reported.
+	learnersNearLimit = 6
+	// forgetTicks is the time after which a silent learner of a group without a fixed list
+	// of hosts is removed: 5 minutes. A host that is back after that has to ask to join.
+	forgetTicks = 6000
+	// refusalIntervalTicks is the least time between two reports of hosts that cannot join.
+	refusalIntervalTicks = 200
+)
 
 // canJoin reports whether a new identity of a host may be added.
 func (c *core) canJoin(host mustardramp.HostName) bool {
-	if c.targetVoters == 0 {
-		return c.joinableHosts[host]
+	return c.targetVoters > 0 || c.joinableHosts[host]
+}
+
+// learnerOfHost returns the learner of a host, if there is one. A new identity of that
+// host means that the folder of the old one is lost. It waits until the old one is
+// silent, so that two processes under one name cannot remove each other again and again.
+func (c *core) learnerOfHost(host mustardramp.HostName) (MemberID, bool) {
+	for _, member := range c.membership() {
+		if member.Host == host && !member.Voter {
+			return member.ID, true
+		}
 	}
-	return len(c.membership())-c.membership().voterCount() < maxLearners
+	return 0, false
+}
+
+// makeRoom removes the learner that has been silent for longest, so that another member
+// can join when it asks again. If all learners are live, the member is refused.
+func (c *core) makeRoom(joining Member) {
+	if id, ticks := c.mostSilentLearner(); ticks >= c.silenceLimit() {
+		c.removeMember(id)
+		return
+	}
+	if c.leaderState.refusalTicks > 0 {
+		return
+	}
+	c.leaderState.refusalTicks = refusalIntervalTicks
+	c.out.memberChanges = append(c.out.memberChanges, memberChange{action: memberRefused, member: joining})
+}
+
+// forgetLearner removes a learner that has been silent for forgetTicks, so that hosts that
+// are gone for good do not stay members until there is no room left.
+func (c *core) forgetLearner() {
+	if c.targetVoters == 0 || !c.canChangeMembership() {
+		return
+	}
+	if id, ticks := c.mostSilentLearner(); ticks >= forgetTicks {
+		c.removeMember(id)
+	}
+}
+
+// mostSilentLearner returns the learner that has been silent for longest, and for how
+// many ticks.
+func (c *core) mostSilentLearner() (MemberID, int) {
+	var found MemberID
+	longest := -1
+	for _, member := range c.membership() {
+		p := c.leaderState.peers[member.ID]
+		if !member.Voter && p != nil && p.silentTicks > longest {
+			found, longest = member.ID, p.silentTicks
+		}
+	}
+	return found, longest
 }
 
 // memberAction is what a membership change does to a member.
@@ -84,9 +153,12 @@
 	memberPromoted memberAction = "promoted"
 	memberDemoted  memberAction = "demoted"
 	memberRemoved  memberAction = "removed"
+	// memberRefused is the action for a host that asks to join a group without room.
+	memberRefused memberAction = "refused"
 )
 
-// memberChange describes a membership change that this member has started as the leader.
+// memberChange describes a membership change that this member has started, or refused, as
+// the leader.
 type memberChange struct {
 	action memberAction
 	member Member
@@ -152,7 +224,7 @@
 // hasTargetVoters reports whether the group has grown to its target number of
 // voters.
 func (c *core) hasTargetVoters() bool {
-	return c.targetVoters > 0 && c.membership().voterCount() >= c.targetVoters
+	return c.targetVoters > 0 && c.membership().VoterCount() >= c.targetVoters
 }
 
 // findSilentVoter returns a silent voter, which another member may replace.
@@ -186,7 +258,11 @@
 // minimum election timeout.
 func (c *core) isSilent(id MemberID) bool {
 	p := c.leaderState.peers[id]
-	return p != nil && p.silentTicks >= 2*c.timing.ElectionTicks
+	return p != nil && p.silentTicks >= c.silenceLimit()
+}
+
+func (c *core) silenceLimit() int {
+	return 2 * c.timing.ElectionTicks
 }
 
 // bootstrap starts a new group. None of its members may have taken part in a
--- a/internal/quorum/core_test.go
+++ b/internal/quorum/core_test.go
@@ -219,7 +219,7 @@
 		return n != nil && n.core.membership().isVoter(fresh) && n.core.canChangeMembership()
 	})
 	membership := sim.leader().core.membership()
-	if _, ok := membership.Member(old); ok || membership.voterCount() != 3 {
+	if _, ok := membership.Member(old); ok || membership.VoterCount() != 3 {
 		t.Errorf("got %v, want 3 voters without %d", membership, old)
 	}
 	// A second host fails right after the first one has been replaced.
@@ -247,7 +247,7 @@
 	if got := sim.leader(); got != lead {
 		t.Errorf("got another leader, want the first one")
 	}
-	if got, want := lead.core.membership().voterCount(), 4; got != want {
+	if got, want := lead.core.membership().VoterCount(), 4; got != want {
 		t.Errorf("got %d voters, want %d", got, want)
 	}
 }
@@ -260,7 +260,7 @@
 	sim.processOutput(old)
 	sim.runUntil(maxSettleSteps, "new leader", func() bool { return sim.leader() != nil && sim.leader() != old })
 	sim.commit(2)
-	if got, want := sim.leader().core.membership().voterCount(), 2; got != want {
+	if got, want := sim.leader().core.membership().VoterCount(), 2; got != want {
 		t.Errorf("got %d voters, want %d", got, want)
 	}
 }
@@ -274,7 +274,7 @@
 			lead.core.requestChange(Change{Remove: n.id.Member.ID})
 		}
 	}
-	if got, want := lead.core.membership().voterCount(), 4; got != want {
+	if got, want := lead.core.membership().VoterCount(), 4; got != want {
 		t.Errorf("got %d voters before the first change is committed, want %d", got, want)
 	}
 }
--- a/internal/quorum/faults_test.go
+++ b/internal/quorum/faults_test.go
@@ -81,7 +81,7 @@
 	if sim.targetVoters > 0 {
 		return n != nil && n.core.canChangeMembership() && sim.hasCurrentVoters(n.core.membership())
 	}
-	if n == nil || !n.core.canChangeMembership() || n.core.membership().voterCount() != len(sim.hosts) {
+	if n == nil || !n.core.canChangeMembership() || n.core.membership().VoterCount() != len(sim.hosts) {
 		return false
 	}
 	for _, host := range sim.hosts {
@@ -104,7 +104,7 @@
 			return false
 		}
 	}
-	return group.voterCount() == sim.targetVoters
+	return group.VoterCount() == sim.targetVoters
 }
 
 // attempt is one submission of a client's operation to a node.
--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -173,7 +173,7 @@
 	g.publishStatus()
 	s := g.Status()
 	klog.InfoS("member-opened", "group", config.Group, "member", s.Self.ID, "term", s.Term, "index", g.core.log.lastIndex(),
-		"voter", g.core.isVoter(), "voters", s.Membership.voterCount())
+		"voter", g.core.isVoter(), "voters", s.Membership.VoterCount())
 	return g, nil
 }
 
@@ -414,7 +414,7 @@
 func (g *Group) logFailedElections(failed []electionResult) {
 	for _, result := range failed {
 		klog.InfoS("election-failed", "group", g.config.Group, "pre-vote", result.isPreVote, "term", result.term, "index", g.core.log.lastIndex(),
-			"voters", g.core.membership().voterCount(), "granted", g.hostsOf(result.granted), "refused", g.hostsOf(result.refused))
+			"voters", g.core.membership().VoterCount(), "granted", g.hostsOf(result.granted), "refused", g.hostsOf(result.refused))
 	}
 }
 
@@ -426,7 +426,11 @@
 	for _, change := range changes {
 		klog.InfoS("member-"+string(change.action), "group", g.config.Group, "host", change.member.Host, "member", change.member.ID,
 			"voter", change.member.Voter, "silent", (time.Duration(change.silentTicks) * g.config.Tick).Milliseconds(),
-			"term", g.core.hardState.Term, "voters", membership.voterCount(), "learners", len(membership)-membership.voterCount())
+			"term", g.core.hardState.Term, "voters", membership.VoterCount(), "learners", membership.LearnerCount(), "limit", MaxLearners)
+		if change.action == memberAdded && membership.LearnerCount() >= learnersNearLimit {
+			klog.InfoS("learners-near-limit", "group", g.config.Group, "learners", membership.LearnerCount(), "limit", MaxLearners,
+				"hosts", membership.learnerHosts())
+		}
 	}
 }
 
--- a/internal/quorum/group_test.go
+++ b/internal/quorum/group_test.go
@@ -229,7 +229,7 @@
 	c.propose(c.hosts[0], "second")
 	c.wantApplied(c.hosts[0], "first")
 	status := g.Status()
-	if _, ok := status.Membership.Member(old); ok || status.Membership.voterCount() != 3 {
+	if _, ok := status.Membership.Member(old); ok || status.Membership.VoterCount() != 3 {
 		t.Errorf("got %v, want 3 voters without %d", status.Membership, old)
 	}
 }
--- a/internal/quorum/leader.go
+++ b/internal/quorum/leader.go
@@ -49,6 +49,8 @@
 	firstIndex mustardramp.Index
 	// heartbeatElapsed counts the ticks since the last heartbeat.
 	heartbeatElapsed int
+	// refusalTicks is the number of ticks until the next host that cannot join is reported.
+	refusalTicks int
 	// round is the number of the last round started.
 	round Round
 	// activeReads wait for their rounds to be answered, queuedReads for a round
@@ -110,10 +112,12 @@
 	for _, p := range c.leaderState.peers {
 		p.silentTicks++
 	}
+	c.leaderState.refusalTicks--
 	c.leaderState.heartbeatElapsed++
 	if c.leaderState.heartbeatElapsed >= c.timing.HeartbeatTicks {
 		c.broadcastHeartbeat()
 		c.promoteLearner()
+		c.forgetLearner()
 	}
 }
 
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -69,7 +69,8 @@
 	})
 }
 
-func (m Membership) voterCount() int {
+// VoterCount returns the number of members with a vote.
+func (m Membership) VoterCount() int {
 	count := 0
 	for _, member := range m {
 		if member.Voter {
@@ -79,6 +80,21 @@
 	return count
 }
 
+// LearnerCount returns the number of members without a vote.
+func (m Membership) LearnerCount() int {
+	return len(m) - m.VoterCount()
+}
+
+func (m Membership) learnerHosts() []mustardramp.HostName {
+	var hosts []mustardramp.HostName
+	for _, member := range m {
+		if !member.Voter {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	return hosts
+}
+
 // hasQuorum reports whether more than half of the voters satisfy the condition.
 func (m Membership) hasQuorum(condition func(MemberID) bool) bool {
 	count := 0
@@ -87,7 +103,7 @@
 			count++
 		}
 	}
-	return count > m.voterCount()/2
+	return count > m.VoterCount()/2
 }
 
 // quorumValue returns the greatest value that a quorum of the voters has reached.
--- a/internal/quorum/replacement_test.go
+++ b/internal/quorum/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/mustardramp/mustardramp"
@@ -37,8 +38,15 @@
 	return sim
 }
 
-// startSpare starts a blank host that no membership has named before.
+// startSpare starts a blank host that no membership has named before. The seeds in its
+// settings are hosts that run.
 func (sim *simulation) startSpare() *node {
+	sim.seeds = nil
+	for _, host := range sim.hosts {
+		if sim.nodes[host].core != nil && len(sim.seeds) < 3 {
+			sim.seeds = append(sim.seeds, host)
+		}
+	}
 	host := mustardramp.HostName(fmt.Sprintf("host-%d", len(sim.hosts)+1))
 	sim.hosts = append(sim.hosts, host)
 	sim.nodes[host] = &node{host: host, disk: &disk.Fake{}}
@@ -157,8 +165,8 @@
 			got++
 		}
 	}
-	if got != seededVoters || lead.core.membership().voterCount() != seededVoters {
-		sim.t.Fatalf("seed %d: got %d of %d voters that are not gone, want %d of %d", seed, got, lead.core.membership().voterCount(), seededVoters, seededVoters)
+	if got != seededVoters || lead.core.membership().VoterCount() != seededVoters {
+		sim.t.Fatalf("seed %d: got %d of %d voters that are not gone, want %d of %d", seed, got, lead.core.membership().VoterCount(), seededVoters, seededVoters)
 	}
 }
 
@@ -180,3 +188,140 @@
 		}
 	}
 }
+
+// succeed takes a host away for good, if there is one, and starts an empty one in its
+// place. It returns once that one has had the time to catch up.
+func (sim *simulation) succeed(gone *node) *node {
+	sim.t.Helper()
+	if gone != nil {
+		sim.crash(gone)
+		sim.runSteps(successorTicks)
+	}
+	successor := sim.startSpare()
+	sim.runSteps(catchUpTicks)
+	return successor
+}
+
+// TestSuccessorsJoinAfterManyReplacements guards against a configuration that is lost
+// after many replacements, since learners that were gone for good left no room for others.
+func TestSuccessorsJoinAfterManyReplacements(t *testing.T) {
+	for name, replacements := range map[string]int{"fewer than the limit": 3, "more than the limit": 2 * MaxLearners} {
+		t.Run(name, func(t *testing.T) {
+			sim := newReplacementSimulation(t, 1)
+			sixth := sim.succeed(nil)
+			for range replacements {
+				sixth = sim.succeed(sixth)
+			}
+			for i := range seededVoters {
+				sim.succeed(sim.nodes[sim.hosts[i]])
+				sim.commit(10 + i)
+				sim.wantLiveVoters()
+			}
+		})
+	}
+}
+
+// wantLiveVoters checks that the group has its target number of voters and that all of
+// them run.
+func (sim *simulation) wantLiveVoters() {
+	sim.t.Helper()
+	voters, live := 0, 0
+	for _, member := range sim.leader().core.membership() {
+		if !member.Voter {
+			continue
+		}
+		voters++
+		if n := sim.nodes[member.Host]; n.core != nil && n.id.Member.ID == member.ID {
+			live++
+		}
+	}
+	if voters != seededVoters || live != seededVoters {
+		sim.t.Fatalf("got %d voters of which %d run, want %d", voters, live, seededVoters)
+	}
+}
+
+// TestLiveLearnersStayMembers has one host more ask to join than there is room for. It
+// must be refused and reported, at a limited rate, and no live learner be removed for it.
+func TestLiveLearnersStayMembers(t *testing.T) {
+	sim := newReplacementSimulation(t, 1)
+	for range MaxLearners {
+		sim.succeed(nil)
+	}
+	lead := sim.leader()
+	before := lead.core.membership()
+	joining := Member{ID: 1000, Host: "host-1000"}
+	refusals := 0
+	for range 2 * refusalIntervalTicks {
+		lead.core.requestChange(Change{Add: &joining})
+		for _, change := range lead.core.out.memberChanges {
+			if change.action == memberRefused {
+				refusals++
+			}
+		}
+		sim.step()
+	}
+	if got := lead.core.membership(); !slices.Equal(got, before) {
+		t.Errorf("got members %v, want %v", got, before)
+	}
+	if refusals < 1 || refusals > 3 {
+		t.Errorf("got %d reports of a refusal in %d ticks, want 1 to 3", refusals, 2*refusalIntervalTicks)
+	}
+}
+
+// TestSilentLearnerIsForgotten guards against a group that keeps members that are gone for
+// good. A host that was only frozen must be a member again within the time to catch up.
+func TestSilentLearnerIsForgotten(t *testing.T) {
+	sim := newReplacementSimulation(t, 1)
+	spare := sim.succeed(nil)
+	sim.isolate(spare, true, true)
+	spare.frozen = true
+	isMember := func() bool {
+		_, ok := sim.leader().core.membership().Member(spare.id.Member.ID)
+		return ok
+	}
+	sim.runSteps(forgetTicks / 2)
+	if !isMember() {
+		t.Errorf("got no member %s after half the time, want it", spare.host)
+	}
+	sim.runSteps(forgetTicks)
+	if isMember() {
+		t.Errorf("got a silent member %s, want it removed", spare.host)
+	}
+	spare.frozen = false
+	sim.heal()
+	sim.runSteps(catchUpTicks)
+	if !isMember() {
+		t.Errorf("got no member %s after it went on, want it", spare.host)
+	}
+}
+
+// TestOneLearnerPerHost has a host start with an empty folder again and again. Each start
+// has a new identity, and the ones before must not stay members.
+func TestOneLearnerPerHost(t *testing.T) {
+	for name, targetVoters := range map[string]int{"listed hosts": 0, "seeds": seededVoters} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 1, seededVoters)
+			sim.targetVoters = targetVoters
+			for _, n := range sim.nodes {
+				n.core.targetVoters = targetVoters
+			}
+			sim.commit(1)
+			lost := sim.otherNode(sim.leader())
+			for range 3 * MaxLearners {
+				sim.loseDisk(lost)
+				sim.isolate(lost, true, false)
+				sim.runSteps(2*catchUpTicks + 5)
+				sim.heal()
+			}
+			got := 0
+			for _, member := range sim.leader().core.membership() {
+				if member.Host == lost.host {
+					got++
+				}
+			}
+			if got > 2 {
+				t.Errorf("got %d identities of the host, want a voter and a learner at most", got)
+			}
+		})
+	}
+}
--- a/internal/quorum/simulation_test.go
+++ b/internal/quorum/simulation_test.go
@@ -20,12 +20,12 @@
 	targetVoters int
 	// seeds are the hosts in the settings of all hosts. If there are any, hosts join by
 	// the hellos of their bootstrappers.
-	seeds []mustardramp.HostName
-	t     *testing.T
-	random       *rand.Rand
-	now          int
-	nodes        map[mustardramp.HostName]*node
-	inFlight     []inFlightMessage
+	seeds    []mustardramp.HostName
+	t        *testing.T
+	random   *rand.Rand
+	now      int
+	nodes    map[mustardramp.HostName]*node
+	inFlight []inFlightMessage
 	// cutPaths holds the one-way paths that lose all messages.
 	cutPaths map[path]bool
 	// dropMessage, if set, selects further messages that are lost.
