Log membership changes as one event

Cause: TestLogEventsAreDocumented failed, since the name of the event was put together from its parts.

Change: member-changed with the key change in place of member-added and others.

The test passes.

--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -424,7 +424,7 @@
 func (g *Group) logMemberChanges(changes []memberChange) {
 	membership := g.core.membership()
 	for _, change := range changes {
-		klog.InfoS("member-"+string(change.action), "group", g.config.Group, "host", change.member.Host, "member", change.member.ID,
+		klog.InfoS("member-changed", "group", g.config.Group, "change", change.action, "host", change.member.Host, "member", change.member.ID,
 			"voter", change.member.Voter, "silent", (time.Duration(change.silentTicks) * g.config.Tick).Milliseconds(),
 			"term", g.core.hardState.Term, "voters", membership.VoterCount(), "learners", membership.LearnerCount(), "limit", MaxLearners)
 		if change.action == memberAdded && membership.LearnerCount() >= learnersNearLimit {
