Elect a leader and replace a silent voter faster after the leader is lost

A third lost disk can take the configuration if the leader is lost just after a frozen host went on: two hosts count as lost then, and once the frozen one has had its time, another one may be.

Cause: two delays. A new leader waited 1.4 s for each voter that it had never heard. And after a split vote with two voters down, both candidates waited out a whole election timeout, because the two that are down counted as voters that may still answer.

Change: the silence of a member that a leader has not heard yet starts at the minimum election timeout. A candidate gives up when the members that answered its pre-vote can no longer make a quorum.

Why it works: a live member answers the first of seven heartbeats in that time; demoting one that does not costs it nothing but its turn. A candidate that gives up starts a new pre-vote after a random part of the timeout; no rule of voting has changed.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -109,6 +109,9 @@
 	// votes holds the replies to this candidate's vote requests: true for a
 	// granted vote.
 	votes map[MemberID]bool
+	// preVotes holds the replies to this candidate's last pre-vote requests, late ones
+	// included.
+	preVotes map[MemberID]bool
 
 	// leaderState is nil in roles other than leader.
 	leaderState *leaderState
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -51,6 +51,7 @@
 	c.refuseReads()
 	c.resetElectionTimeout()
 	c.votes = map[MemberID]bool{}
+	c.preVotes = map[MemberID]bool{}
 	c.requestVotes(MessagePreVote, c.hardState.Term+1)
 	c.countPreVote(c.self.ID, true)
 }
@@ -110,6 +111,9 @@
 }
 
 func (c *core) handlePreVoteReply(m Message) {
+	if c.role == candidate && !m.Reject && m.Term == c.hardState.Term {
+		c.preVotes[m.From] = true
+	}
 	if c.role != preCandidate {
 		return
 	}
@@ -121,6 +125,7 @@
 
 func (c *core) countPreVote(from MemberID, granted bool) {
 	c.votes[from] = granted
+	c.preVotes[from] = granted
 	if c.membership().hasQuorum(c.hasGrantedVote) {
 		c.startElection()
 	}
@@ -150,11 +155,12 @@
 	}
 }
 
-// mayStillGrantVote reports whether a member has not refused its vote to this
-// candidate.
+// mayStillGrantVote reports whether a member may yet vote for this candidate. One that
+// has not answered the pre-vote is probably down. Waiting for it after a split vote
+// would take a whole election timeout each time.
 func (c *core) mayStillGrantVote(id MemberID) bool {
 	granted, answered := c.votes[id]
-	return granted || !answered
+	return granted || !answered && c.preVotes[id]
 }
 
 // abandonElection ends an election that can no longer be won. After a split vote
--- a/internal/quorum/leader.go
+++ b/internal/quorum/leader.go
@@ -21,7 +21,9 @@
 	// sent.
 	probing       bool
 	probeInFlight bool
-	// silentTicks counts the ticks since the last message from the member.
+	// silentTicks counts the ticks since the last message from the member. It starts at
+	// the minimum election timeout: a leader that has not heard a member yet waits less
+	// for it, so that a change of the leader delays no replacement of a silent voter.
 	silentTicks int
 	// sentCommit is the commit index last sent to the member, and awaitedCommit
 	// the index that callers on the member wait for. A new commit index is sent
@@ -95,7 +97,9 @@
 		}
 		peers[member.ID] = c.leaderState.peers[member.ID]
 		if peers[member.ID] == nil {
-			peers[member.ID] = &progress{nextIndex: c.log.lastIndex() + 1, probing: true, recentlyActive: true}
+			peers[member.ID] = &progress{
+				nextIndex: c.log.lastIndex() + 1, probing: true, recentlyActive: true, silentTicks: c.timing.ElectionTicks,
+			}
 		}
 	}
 	c.leaderState.peers = peers
