Show what control hosts remember beside the bounds

Of the three bounds of a control host at which something new is refused (learners, backends, entries of a ledger), two were told only by the refusal.

Change: metrics list at a control host shows each with its bound, and bound-near is logged from three quarters on and when it is reached. This takes the place of learners-near-limit.

A ledger entry with an unknown outcome still stays until an operator settles it: nothing else can know.

--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -59,8 +59,11 @@
 	// first.
 	groups  []*group
 	ledgers []*ledger.Server
-	orders  orderBudget
-	guards  guards
+	// boundLevels holds by name how far each bound was reached at the last report. Only
+	// reportBounds uses it.
+	boundLevels map[string]boundLevel
+	orders      orderBudget
+	guards      guards
 	// drained is closed when an operator drains the host.
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -271,6 +274,7 @@
 	admin := c.guards.newSide("administration", c.tlsConfigs.admin != nil)
 	group.Go(func() error { return serveHTTP(ctx, c.adminListener, c.tlsConfigs.admin, c.adminHandler(), admin) })
 	group.Go(func() error { return every(ctx, guardReportInterval, c.guards.report) })
+	group.Go(func() error { return every(ctx, boundReportInterval, c.reportBounds) })
 	group.Go(func() error {
 		defer cancel()
 		select {
--- a/internal/host/controlview.go
+++ b/internal/host/controlview.go
@@ -46,14 +46,12 @@
 }
 
 // Histograms implements admin.Fleet. A control host handles no requests of callers; it
-// shows how many members its groups have.
+// shows how much it remembers, with the bounds.
 func (v *controlView) Histograms(prefix string) []*fleetapi.Histogram {
 	out := []*fleetapi.Histogram{}
-	for _, g := range v.groups {
-		for _, h := range g.counters() {
-			if strings.HasPrefix(h.Name, prefix) {
-				out = append(out, h)
-			}
+	for _, b := range v.bounds() {
+		if strings.HasPrefix(b.name, prefix) {
+			out = append(out, b.counter())
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/internal/host/group.go
+++ b/internal/host/group.go
@@ -20,9 +20,6 @@
 	placement.Group
 	log   *member
 	links *quorum.Links
-	// targetVoters is the number of voters that a group without a fixed list of hosts grows
-	// to, or 0.
-	targetVoters int
 }
 
 // openGroup opens this host's member of a group from its folder and registers the
@@ -72,7 +69,6 @@
 
 // open opens the member and registers the handlers for its peers with the router.
 func (g *group) open(router *link.Router, config quorum.Config, reset func() error) error {
-	g.targetVoters = config.TargetVoters
 	config.Group, config.Hosts, config.Transport = quorum.GroupName(g.Name), g.Hosts, g.links
 	var err error
 	if g.log, err = openMember(config, reset); err != nil {
@@ -109,16 +105,6 @@
 	return out
 }
 
-// counters returns the numbers of members with a vote and without one, each with its
-// bound, so that an operator sees a group fill up.
-func (g *group) counters() []*fleetapi.Histogram {
-	m := g.log.Status().Membership
-	return []*fleetapi.Histogram{
-		{Name: "group-learners/" + g.Name, Count: int64(m.LearnerCount()), Max: quorum.MaxLearners, Unit: "members"},
-		{Name: "group-voters/" + g.Name, Count: int64(m.VoterCount()), Max: float64(max(g.targetVoters, len(g.Hosts))), Unit: "members"},
-	}
-}
-
 // roleOf returns the role of this host's member in its group. A member without a
 // vote is joining: it does not count towards a quorum yet.
 func roleOf(s quorum.Status) string {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -188,6 +188,14 @@
 	return len(s.entries) >= limit
 }
 
+// Size returns the number of entries. Those with an unknown outcome stay until an operator
+// settles them.
+func (s *State) Size() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.entries)
+}
+
 func (s *State) add(c mustardramp.Claim) *entry {
 	if s.entries == nil {
 		s.entries = map[mustardramp.ClaimID]*entry{}
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -80,8 +80,6 @@
 const MaxLearners = 8
 
 const (
-	// learnersNearLimit is the number of learners from which on each new one is reported.
-	learnersNearLimit = 6
 	// forgetTicks is the time after which a silent learner of a group without a fixed list
 	// of hosts is removed: 5 minutes. A host that is back after that has to ask to join.
 	forgetTicks = 6000
--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -427,10 +427,6 @@
 		klog.InfoS("member-changed", "group", g.config.Group, "change", change.action, "host", change.member.Host, "member", change.member.ID,
 			"voter", change.member.Voter, "silent", (time.Duration(change.silentTicks) * g.config.Tick).Milliseconds(),
 			"term", g.core.hardState.Term, "voters", membership.VoterCount(), "learners", membership.LearnerCount(), "limit", MaxLearners)
-		if change.action == memberAdded && membership.LearnerCount() >= learnersNearLimit {
-			klog.InfoS("learners-near-limit", "group", g.config.Group, "learners", membership.LearnerCount(), "limit", MaxLearners,
-				"hosts", membership.learnerHosts())
-		}
 	}
 }
 
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -85,16 +85,6 @@
 	return len(m) - m.VoterCount()
 }
 
-func (m Membership) learnerHosts() []mustardramp.HostName {
-	var hosts []mustardramp.HostName
-	for _, member := range m {
-		if !member.Voter {
-			hosts = append(hosts, member.Host)
-		}
-	}
-	return hosts
-}
-
 // hasQuorum reports whether more than half of the voters satisfy the condition.
 func (m Membership) hasQuorum(condition func(MemberID) bool) bool {
 	count := 0
--- a/internal/roster/table.go
+++ b/internal/roster/table.go
@@ -47,6 +47,14 @@
 	})
 }
 
+// Size returns the number of backends that the table holds, those that are gone and not
+// forgotten yet included.
+func (t *Table) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.roster.entries)
+}
+
 // HasDeparted calls Roster.HasDeparted.
 func (t *Table) HasDeparted(b mustardramp.Backend) bool {
 	t.mu.Lock()
