Release what is held for replaced control hosts

A link to each control host that was ever a member stayed open, with its goroutine and up to 64 packets of 512 KiB that wait for an earlier one, and the host of each identity was remembered.

Change: a group tells its transport of members that were removed. The link, its sender and what waits are released, unless another identity of the host is a member. A message to or from the host opens them again.

Evidence: TestLinksForgetHosts and TestGroupForgetsRemovedHosts hold, with the race detector too. There is no figure of a process before and after.

--- a/internal/host/disks_in_turn_test.go
+++ b/internal/host/disks_in_turn_test.go
@@ -120,6 +120,9 @@
 	}
 }
 
+// Forget implements quorum.Transport.
+func (groupTransport) Forget(mustardramp.HostName) {}
+
 func newControlGroup(t *testing.T, fails func(disk.Operation) bool, snapshotBytes int) *controlGroup {
 	g := &controlGroup{
 		t: t, members: map[mustardramp.HostName]*controlMember{}, receivers: map[mustardramp.HostName]*member{},
--- a/internal/host/member_test.go
+++ b/internal/host/member_test.go
@@ -25,6 +25,9 @@
 // Send implements quorum.Transport.
 func (discardTransport) Send(mustardramp.HostName, quorum.Message) {}
 
+// Forget implements quorum.Transport.
+func (discardTransport) Forget(mustardramp.HostName) {}
+
 // TestMemberRecoversFromFullDisk guards against a member that stops for good, or
 // acknowledges or loses changes, when its disk is full. Nothing is acknowledged
 // while the disk is full; all that was acknowledged is there once it has space.
--- a/internal/quorum/group.go
+++ b/internal/quorum/group.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,9 @@
 	// Send sends a message without waiting for its delivery. The message may be
 	// lost.
 	Send(to mustardramp.HostName, m Message)
+	// Forget releases what is held for a host that is no longer a member. A message to
+	// or from that host may follow all the same.
+	Forget(host mustardramp.HostName)
 }
 
 // Config configures one member. Disk, Timing, Tick and SnapshotBytes have
@@ -406,9 +410,26 @@
 	if old != nil && old.Leader != next.Leader {
 		klog.InfoS("leader-changed", "group", g.config.Group, "term", next.Term, "leader", g.hostOf(next.Leader))
 	}
+	if old != nil {
+		g.forgetRemoved(old.Membership, next.Membership)
+	}
 	g.status.Store(&next)
 }
 
+// forgetRemoved releases what is held for members that were removed.
+func (g *Group) forgetRemoved(old, next Membership) {
+	for _, member := range old {
+		if _, ok := next.Member(member.ID); ok {
+			continue
+		}
+		delete(g.observedHosts, member.ID)
+		isHost := func(other Member) bool { return other.Host == member.Host }
+		if member.Host != g.config.Host && !slices.ContainsFunc(next, isHost) {
+			g.config.Transport.Forget(member.Host)
+		}
+	}
+}
+
 // logFailedElections logs which members replied in failed elections. This tells a
 // split vote from members that are silent or have a newer log.
 func (g *Group) logFailedElections(failed []electionResult) {
--- a/internal/quorum/group_test.go
+++ b/internal/quorum/group_test.go
@@ -21,6 +21,8 @@
 	mu       sync.Mutex
 	groups   map[mustardramp.HostName]*Group
 	isolated map[mustardramp.HostName]bool
+	// forgotten lists the hosts that members have forgotten.
+	forgotten []mustardramp.HostName
 }
 
 // memoryTransport is the transport of one host in a memoryNetwork.
@@ -39,6 +41,12 @@
 	}
 }
 
+func (t memoryTransport) Forget(host mustardramp.HostName) {
+	t.network.mu.Lock()
+	defer t.network.mu.Unlock()
+	t.network.forgotten = append(t.network.forgotten, host)
+}
+
 func (n *memoryNetwork) setGroup(host mustardramp.HostName, g *Group) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/quorum/links.go
+++ b/internal/quorum/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -138,6 +139,24 @@
 	return s
 }
 
+// Forget implements Transport. The links to hosts of the settings stay open.
+func (l *Links) Forget(host mustardramp.HostName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.resequencers, host)
+	s := l.senders[host]
+	if s == nil || l.Dial == nil {
+		return
+	}
+	delete(l.senders, host)
+	if s.cancel != nil {
+		s.cancel()
+	}
+	if closer, ok := s.invoker.(io.Closer); ok {
+		_ = closer.Close()
+	}
+}
+
 // Receiver receives the messages of other members. Group implements it.
 type Receiver interface {
 	// Receive must not block.
@@ -157,7 +176,15 @@
 func (l *Links) Run(ctx context.Context) error {
 	work, ctx := errgroup.WithContext(ctx)
 	l.mu.Lock()
-	l.startSender = func(s *hostSender) { work.Go(func() error { return s.run(ctx) }) }
+	l.startSender = func(s *hostSender) {
+		senderCtx, cancel := context.WithCancel(ctx)
+		s.cancel = cancel
+		work.Go(func() error {
+			// The end of one sender must not end the others.
+			_ = s.run(senderCtx)
+			return nil
+		})
+	}
 	for _, s := range l.senders {
 		l.startSender(s)
 	}
@@ -284,6 +311,9 @@
 	invoker link.Invoker
 	// wake holds a signal while messages may be queued.
 	wake chan struct{}
+	// cancel ends the sender. It is nil until the sender is started, and guarded by the
+	// lock of the links.
+	cancel context.CancelFunc
 
 	mu    sync.Mutex
 	queue []Message
--- a/internal/quorum/links_test.go
+++ b/internal/quorum/links_test.go
@@ -281,3 +281,54 @@
 		}
 	}
 }
+
+// TestLinksForgetHosts guards against links to replaced hosts that stay open for as long
+// as the process runs. A host that is forgotten by mistake can be reached again.
+func TestLinksForgetHosts(t *testing.T) {
+	const messages = 10
+	received := make(countingReceiver, 2*messages)
+	h := &restartedHost{}
+	stop := h.start(t, received)
+	defer stop()
+	l := NewLinks("restarted", "host-1", nil)
+	l.Dial = func(mustardramp.HostName) link.Invoker { return h }
+	ctx, cancel := context.WithCancel(t.Context())
+	var work errgroup.Group
+	work.Go(func() error { return l.Run(ctx) })
+	defer func() {
+		cancel()
+		_ = work.Wait()
+	}()
+	for range messages {
+		l.Send("host-2", Message{Kind: MessageHello})
+		<-received
+		l.receive(received, packet{From: "host-2", Number: 1})
+		l.Forget("host-2")
+		l.mu.Lock()
+		if len(l.senders) != 0 || len(l.resequencers) != 0 {
+			t.Errorf("got %d senders and %d resequencers, want none", len(l.senders), len(l.resequencers))
+		}
+		l.mu.Unlock()
+	}
+}
+
+// countingReceiver takes the messages of a test.
+type countingReceiver chan Message
+
+// Receive implements Receiver.
+func (c countingReceiver) Receive(_ mustardramp.HostName, m Message) { c <- m }
+
+// TestGroupForgetsRemovedHosts checks that a group forgets the host of a removed member,
+// but not one whose other identity still is a member.
+func TestGroupForgetsRemovedHosts(t *testing.T) {
+	network := &memoryNetwork{}
+	g := &Group{config: Config{Host: "host-1", Transport: memoryTransport{network, "host-1"}}, observedHosts: map[MemberID]mustardramp.HostName{2: "host-2", 3: "host-3"}}
+	old := Membership{{ID: 1, Host: "host-1"}, {ID: 2, Host: "host-2"}, {ID: 3, Host: "host-3"}, {ID: 4, Host: "host-3"}}
+	g.forgetRemoved(old, Membership{{ID: 1, Host: "host-1"}, {ID: 4, Host: "host-3"}})
+	if want := []mustardramp.HostName{"host-2"}; !slices.Equal(network.forgotten, want) {
+		t.Errorf("got hosts %v forgotten, want %v", network.forgotten, want)
+	}
+	if got := len(g.observedHosts); got != 0 {
+		t.Errorf("got %d observed members, want none", got)
+	}
+}
