--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -50,8 +50,8 @@
 	mu    sync.Mutex
 	// changed is signaled after each change that receive or a reader may wait for.
 	changed sync.Cond
-	// blocks hold the bytes from the offset first to the offset end. All have the capacity uploadBlockBytes but
-	// the last, and all but the last are full.
+	// blocks hold the bytes from the offset first to the offset end. All but the last have
+	// the capacity uploadBlockBytes and are full.
 	blocks     [][]byte
 	first, end int64
 	// reserved is the sum of the capacities of blocks.
