Keep the signal of a request that arrives before its test waits

The trace: TestCallerThatLeftInAnEarlierStepIsNoticed waited for hasArrived, while the handler waited for hasLeft. The handler offers hasArrived without waiting, and nobody was receiving yet, so the only signal was lost. The fault is one of the test: the request was held as it should be.

Change: the channel holds one signal. The checks are as they were.

--- a/internal/entry/caller_watch_test.go
+++ b/internal/entry/caller_watch_test.go
@@ -108,7 +108,7 @@
 	var count atomic.Int64
 	f := newFixture(t, startBackend(t, func(http.ResponseWriter, *http.Request) { count.Add(1) }))
 	set := f.handler.config.Contracts()
-	hasArrived, hasLeft := make(chan struct{}), make(chan struct{})
+	hasArrived, hasLeft := make(chan struct{}, 1), make(chan struct{})
 	f.handler.config.Contracts = func() *contract.Set {
 		select {
 		case hasArrived <- struct{}{}:
